--- /dev/null
+++ b/ironhinge/brain.py
@@ -0,0 +1,418 @@
+"""All decisions of ironhinge: where a req goes, from where it is filled, how it is kept, and how it ends.
+
+A front makes one Router an instance and calls `Router.step(now, happening)` for each thing that happened; the actions
+that come back are carried out in order. What happens and what can be done is typed in `interface.py`.
+The design (docs/design.md): a req walks the first K ready caches of its object's hash order; the table of each cache
+says whether a copy is kept there and at which rank; refusals move the req on; fills meet at the object's parent.
+
+Mechanisms beside the design:
+ 1. bench: nodes that keep failing are passed over for a while and let back in by single trials.
+ 2. cold budget: a node that started lately gets no more than its share of what it can do.
+ 3. purge limit: copies older than a purge are refused until the purge has settled.
+"""
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right, insort
+from collections import deque
+from hashlib import blake2b
+from math import log2
+from typing import Deque, Dict, List, Optional, Tuple
+
+from . import interface as face
+
+K = 2  # caches that a req walks
+HALF_LIFE = 100_000  # of the rates in a cache's table
+HIGH, MIDDLE = 32, 96  # entries of a table that rank high; and the next that rank middle
+TABLE = 4096  # entries of a table, and objects remembered as seen
+FILLS_BOUND = 24  # fills under way at a parent, ours, above which the object's next parent is asked
+STREAK = 2  # failures in a row that bench a node
+BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
+BENCH_MOST = 4.0
+COLD_MARGIN = 0.6  # part of a cold node's budget that we dare use: its capacity is judged, not told
+CARRY = 100_000  # time over which the work that a node carries is averaged
+MEAN_WEIGHT = 20  # reqs that the first guess of a vhost's mean sending time weighs
+ROOM = 1.5  # a dispatch may take this many times its sending time before its time-out may come
+MASK = (1 << 64) - 1
+
+
+def salt(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def mix(a: int, b: int) -> int:
+    """A stable 64-bit hash of two numbers, the same at every router (the finalizer of splitmix64)."""
+    x = (a * 0x9E3779B97F4A7C15 + b) & MASK
+    x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & MASK
+    return x ^ (x >> 31)
+
+
+class Chance:
+    """A linear congruential generator; the high bits are used."""
+
+    def __init__(self, seed: int):
+        self.state = seed & MASK
+
+    def share(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & MASK
+        return (self.state >> 33) / (1 << 31)
+
+
+class VhostRow:
+    """What differs by vhost and is read here."""
+
+    def __init__(self, facts: face.Vhost):
+        self.facts = facts
+        self.cacheable = not facts.writes
+        self.work_sum, self.work_count = facts.target * MEAN_WEIGHT, MEAN_WEIGHT
+
+    def mean_work(self) -> float:
+        return self.work_sum / self.work_count
+
+    def learn(self, work: int) -> None:
+        self.work_sum += work
+        self.work_count += 1
+
+
+class Table:
+    """One cache's req rates over size, decaying; `order` keeps them sorted so that a rank is one search.
+
+    A score is the log2 of rate over size on a scale that grows with time, so entries need no touch to decay.
+    """
+
+    def __init__(self):
+        self.scores: Dict[Tuple[int, int], float] = {}  # by object and part; the longest uncounted first
+        self.order: List[float] = []
+
+    def count(self, key: Tuple[int, int], size: float, now: int) -> int:
+        """Counts a req; returns how many entries rank above its."""
+        new = now / HALF_LIFE - log2(size or 1.0)
+        old = self.scores.pop(key, None)
+        if old is not None:
+            del self.order[bisect_left(self.order, old)]
+            new = max(old, new) + log2(1 + 2 ** -abs(old - new))
+        elif len(self.scores) >= TABLE:
+            del self.order[bisect_left(self.order, self.scores.pop(next(iter(self.scores))))]
+        self.scores[key] = new
+        insort(self.order, new)
+        return len(self.order) - bisect_right(self.order, new)
+
+
+class Node:
+    """All that is known of a cache, a parent or the origin."""
+
+    def __init__(self, row: face.NodeRow):
+        self.id, self.salt, self.row = row.id, salt(row.id), row
+        self.table = Table()
+        self.reset()
+
+    def reset(self) -> None:
+        """Forgets what a restart makes void."""
+        self.streak = 0  # failures since the last success
+        self.benched_until = 0
+        self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
+        self.out = 0  # dispatches out that this node is part of, as node or source
+        self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
+        self.sent: Deque[Tuple[int, float]] = deque()  # while cold: what was sent when
+        self.sent_sum = 0.0
+
+    def carried(self, work: float, now: int) -> None:
+        self.carry = self.carry_now(now) + work / CARRY
+        self.carry_at = now
+
+    def carry_now(self, now: int) -> float:
+        return self.carry * 2 ** ((self.carry_at - now) / CARRY)
+
+
+class Req:
+    def __init__(self, came: face.ReqCame, vhost: VhostRow, now: int, work: int):
+        self.id, self.key, self.group, self.size = came.id, (came.obj, came.part), came.group, came.size
+        self.vhost, self.work, self.left_at = vhost, work, now + came.left
+        self.salt = mix(came.obj, came.part + 1)
+        self.home = mix(came.obj, 0)
+        self.cacheable = vhost.cacheable and not came.write
+        self.asked: List[Node] = []  # caches walked that had no copy
+        self.failed: List[Node] = []  # nodes and sources that failed it
+        self.dispatches = 0
+        self.node: Optional[Node] = None  # of the dispatch that is out
+        self.source: Optional[Node] = None
+        self.sent_at = 0
+        self.may_have_run: Optional[Tuple[Node, int]] = None  # the first node where it may have run, and when it was sent
+        self.streaming = False
+
+
+class Router:
+    def __init__(self, facts: face.Deployment, seed: int):
+        self.facts, self.chance = facts, Chance(seed)
+        self.vhosts = [VhostRow(vhost) for vhost in facts.vhosts]
+        self.longest = max([vhost.timeout for vhost in facts.vhosts], default=10_000)
+        self.nodes: Dict[str, Node] = {}
+        self.caches: List[Node] = []
+        self.parents: List[Node] = []
+        self.origin: Optional[Node] = None
+        self.listed = False
+        self.reqs: Dict[str, Req] = {}
+        self.seen: Dict[int, int] = {}  # when an object was last asked for; the longest unseen first
+        self.usual: Dict[int, float] = {}  # by kind: what a warm node carries for us, in work a unit of time
+        self.purged_objects: Dict[int, int] = {}  # the newest purge known
+        self.purged_groups: Dict[int, int] = {}
+        self.acts: List[face.Action] = []
+        self.now = 0
+
+    def step(self, now: int, what: face.Happening) -> List[face.Action]:
+        """The entry point."""
+        self.now, self.acts = now, []
+        kind = type(what)
+        if kind is face.ReqCame:
+            self.take(what)
+        elif kind is face.Outcome:
+            self.outcome(what)
+        elif kind is face.Listed:
+            self.learn_list(what)
+        elif kind is face.Left:
+            req = self.reqs.pop(what.id, None)
+            if req is not None and req.node is not None and self.facts.cancels and not req.streaming:
+                self.acts.append(face.CallOff(req.id, req.dispatches - 1))
+        elif kind is face.Purged:
+            self.purge(what)
+        elif kind is face.Streaming and what.id in self.reqs:
+            self.reqs[what.id].streaming = True
+        elif kind is face.Started and self.facts.must_watch or kind is face.Rang and what.token == "watch":
+            self.acts.append(face.Watch(True))
+        elif kind is face.ListFailed:
+            self.acts.append(face.Remind(max(1, self.facts.ask_within // 10), "watch"))
+        return self.acts
+
+    # The list of nodes
+
+    def learn_list(self, listed: face.Listed) -> None:
+        if listed.whole:
+            here = {row.id for row in listed.rows}
+            for node in self.nodes.values():
+                if node.id not in here:
+                    node.row = node.row._replace(state="gone")
+        for row in listed.rows:
+            node = self.nodes.get(row.id)
+            if node is None:
+                if self.listed and not listed.whole and not row.started:
+                    row = row._replace(started=self.now)  # a newcomer is cold, told when it started or not
+                self.nodes[row.id] = Node(row)
+            elif row.state == "gone":
+                node.row = node.row._replace(state="gone")
+            else:
+                if row.started > node.row.started:
+                    node.reset()
+                    node.table = Table()
+                node.row = row._replace(started=max(row.started, node.row.started))
+        self.listed = True
+        facts, ready = self.facts, [node for node in self.nodes.values() if node.row.state == "ready"]
+        self.parents = [node for node in ready if node.row.kind == facts.parent_kind]
+        self.origin = next((node for node in ready if node.row.kind == facts.origin_kind), None)
+        self.caches = [node for node in ready if node.row.zone == facts.zone
+                       and node.row.kind not in (facts.parent_kind, facts.origin_kind)]
+
+    # Purges
+
+    def purge(self, what: face.Purged) -> None:
+        """Guards 'purges kept'. A late notice of an older purge must not loosen a newer one, hence the max."""
+        book, name = ((self.purged_groups, what.group) if what.obj is None else (self.purged_objects, what.obj))
+        at = self.now - what.age + 1
+        book[name] = max(book.pop(name, at), at)
+        while book:
+            oldest = next(iter(book))
+            if book[oldest] + self.facts.purge_settles >= self.now:
+                break
+            del book[oldest]
+
+    def age_limit(self, req: Req) -> int:
+        """The oldest copy that will do; 0 for what the vhost allows by itself."""
+        at = max(self.purged_objects.get(req.key[0], -1), self.purged_groups.get(req.group, -1))
+        if at < 0 or self.now > at + self.facts.purge_settles:
+            return 0
+        limit = max(1, self.now - at)
+        fresh = req.vhost.facts.fresh
+        return min(limit, fresh) if fresh else limit
+
+    # Reqs
+
+    def take(self, came: face.ReqCame) -> None:
+        vhost = self.vhosts[came.vhost]
+        if came.size and self.facts.pace:
+            work = int(came.size * 10_000 / self.facts.pace) + 1
+            vhost.learn(work)
+        else:
+            work = int(vhost.mean_work())
+        req = self.reqs[came.id] = Req(came, vhost, self.now, work)
+        last = self.seen.pop(came.obj, None)
+        if len(self.seen) >= TABLE:
+            del self.seen[next(iter(self.seen))]
+        self.seen[came.obj] = self.now
+        req.lately = last is not None and self.now - last <= HALF_LIFE * self.facts.routers_here
+        self.go_on(req)
+
+    def go_on(self, req: Req) -> None:
+        """The walk: the next cache of the object's order, else the first one as a pass-through, else past the caches."""
+        facts = self.facts
+        if req.dispatches >= facts.max_dispatches or self.now + max(req.work, 2 * facts.tick) >= req.left_at:
+            return self.give_up(req)
+        weight = req.vhost.mean_work()
+        order = sorted(self.caches, key=lambda node: mix(req.salt, node.salt), reverse=True)
+        able = [node for node in order if self.allowed(req, node)]
+        fit = [node for node in able if node not in req.failed and self.fit(node, weight)]
+        source = self.fill_source(req)
+        if req.cacheable and len(req.asked) < K:
+            for node in fit:
+                if node in req.asked:
+                    continue
+                above = node.table.count(req.key, req.size, self.now)
+                rank = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1 if req.lately else 0
+                if rank and source is not None:
+                    return self.dispatch(req, node, source, rank)
+                req.asked.append(node)
+                return self.dispatch(req, node, node, 0)
+        if fit and source is not None:
+            return self.dispatch(req, fit[0], source, 0)
+        if facts.bypass and source is not None and self.allowed(req, source):
+            return self.dispatch(req, source, source, 0)
+        rest = [node for node in able if self.in_budget(node, weight)]
+        if rest and source is not None:
+            return self.dispatch(req, min(rest, key=lambda node: (req.failed.count(node), node.benched_until)), source, 0)
+        self.give_up(req)
+
+    def fill_source(self, req: Req) -> Optional[Node]:
+        """A hash order of the object over all listed parents, the origin when none of them will do."""
+        for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
+            if node not in req.failed and node.out < FILLS_BOUND and self.fit(node, req.work):
+                return node
+        return self.origin
+
+    def dispatch(self, req: Req, node: Node, source: Node, rank: int) -> None:
+        facts, now = self.facts, self.now
+        end = req.left_at - 2 * facts.tick
+        until = end
+        if req.vhost.facts.effect == "replayable":
+            # a silent node must leave time for another dispatch before the client timeout
+            until = min(end, max(end - int(ROOM * req.work), now + (end - now) // 2))
+        limit = self.age_limit(req)
+        if source is node and node.row.kind not in (facts.parent_kind, facts.origin_kind) and not limit:
+            act = face.Ask(req.id, node.id, until)
+        elif source is node and node is self.origin:
+            act = face.Ask(req.id, node.id, until)
+        else:
+            if source is node and node in self.parents and self.origin is not None:
+                source = self.origin
+            fresh = req.vhost.facts.fresh
+            act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, bool(fresh) and source is not node,
+                             False)
+        req.node, req.source, req.sent_at = node, source if source is not node else None, now
+        req.dispatches += 1
+        for each in (req.node, req.source):
+            if each is not None:
+                each.out += 1
+                if self.is_cold(each):
+                    work = req.vhost.mean_work() if each in self.caches else max(req.work, req.vhost.mean_work())
+                    each.sent.append((now, work))
+                    each.sent_sum += work
+        self.acts.append(act)
+
+    def outcome(self, what: face.Outcome) -> None:
+        req = self.reqs.get(what.id)
+        if req is None or req.node is None or req.node.id != what.node or what.number != req.dispatches - 1:
+            return
+        node, source, result = req.node, req.source, what.result
+        req.node = req.source = None
+        for each in (node, source):
+            if each is not None:
+                each.out = max(0, each.out - 1)
+        if result == "done":
+            self.succeeded(node, req.work)
+            if source is not None and what.note in (2, 3, 4):
+                self.succeeded(source, req.work)
+        elif result == "miss":
+            self.succeeded(node, 0)
+            if source is not None:
+                req.failed.append(source)
+        elif result not in ("cancelled", "unsent"):
+            blamed = source if what.note in (6, 7, 8, 10) and source is not None else node
+            if what.note != 9:
+                self.failed(blamed, result)
+                if blamed is node and source is not None and result in ("timeout", "error"):
+                    self.failed(source, result)
+            req.failed.append(blamed)
+        if result in ("error", "timeout", "reset", "cancelled") and req.may_have_run is None:
+            req.may_have_run = node, req.sent_at
+        if what.closed or req.streaming:
+            del self.reqs[req.id]
+        else:
+            self.go_on(req)
+
+    def allowed(self, req: Req, node: Node) -> bool:
+        """Guards 'no effect twice': where a req that may have run can still be sent."""
+        if req.may_have_run is None or req.vhost.facts.effect == "replayable":
+            return True
+        facts, (first, at) = req.vhost.facts, req.may_have_run
+        if facts.effect == "non-replayable" or self.now >= at + facts.window:
+            return False
+        return (facts.scope == "all" or facts.scope == "zone" and node.row.zone == first.row.zone
+                or facts.scope == "cell" and node.row.cell == first.row.cell)
+
+    def give_up(self, req: Req) -> None:
+        """The final answer of a req that was not done: a denial where trying again is harmless, else an abort."""
+        del self.reqs[req.id]
+        vhost = req.vhost.facts
+        harmless = vhost.effect == "replayable" or req.may_have_run is None or (
+            vhost.effect == "uniqued" and vhost.scope == "all" and self.now < req.may_have_run[1] + vhost.window)
+        self.acts.append(face.Deny(req.id, self.facts.backoff) if harmless else face.Abort(req.id))
+
+    # Health
+
+    def succeeded(self, node: Node, work: int) -> None:
+        node.streak, node.bench = 0, 0.0
+        node.benched_until = 0
+        node.carried(work, self.now)
+
+    def failed(self, node: Node, result: str) -> None:
+        """Guards against nodes that are dead, silent or failing; harms little where a healthy one failed by chance."""
+        node.streak += 1
+        if self.now < node.benched_until:
+            return
+        if node.streak >= STREAK or result == "unconnected":
+            node.bench = min(BENCH_MOST, max(BENCH, 2 * node.bench))
+            node.benched_until = self.now + int(node.bench * self.longest)
+
+    def fit(self, node: Node, work: float) -> bool:
+        if node.bench and (self.now < node.benched_until or node.out):
+            return False
+        return self.in_budget(node, work)
+
+    # Cold nodes
+
+    def is_cold(self, node: Node) -> bool:
+        length = self.facts.parent_cold if node.row.kind == self.facts.parent_kind else self.facts.cold
+        return bool(node.row.started) and self.now < node.row.started + length
+
+    def in_budget(self, node: Node, work: float) -> bool:
+        """Guards 'no cold node pushed over'. Our share of a budget is taken from what we ourselves have warm nodes of
+        its kind carry: summed over all routers that stays under what such a node can do."""
+        if node is self.origin or not self.is_cold(node):
+            return True
+        facts = self.facts
+        parent = node.row.kind == facts.parent_kind
+        while node.sent and node.sent[0][0] < self.now - facts.fall:
+            node.sent_sum -= node.sent.popleft()[1]
+        least, length, multiple = ((facts.parent_cold_from, facts.parent_cold, facts.parent_fall_multiple) if parent
+                                   else (facts.cold_from, facts.cold, facts.fall_multiple))
+        age = max(0, self.now - facts.fall - node.row.started)
+        share = least + (1 - least) * age / max(1, length)
+        if facts.weights in ("nominal", "rough"):
+            capacity = node.row.weight / (facts.routers if parent else facts.routers_here)
+        else:
+            capacity = self.carried_by_kind(node.row.kind)
+        return node.sent_sum + work <= COLD_MARGIN * multiple * share * capacity * facts.fall
+
+    def carried_by_kind(self, kind: int) -> float:
+        warm = [node for node in (self.parents if kind == self.facts.parent_kind else self.caches)
+                if node.row.kind == kind and not self.is_cold(node) and not node.bench]
+        if warm:
+            self.usual[kind] = sum(node.carry_now(self.now) for node in warm) / len(warm)
+        return self.usual.get(kind, 0.0)
--- /dev/null
+++ b/ironhinge/wirehost/host.py
@@ -0,0 +1,86 @@
+"""Reads batches, hands each event to its instance and writes one reply a batch."""
+from __future__ import annotations
+
+import json
+import traceback
+from typing import Any, BinaryIO, Dict, List, TextIO, Tuple
+
+from .. import interface as face
+from ..brain import Router
+from . import codec
+from .codec import Fields, Malformed
+
+
+class Host:
+    """The instances of this process and the numbered lists of nodes, which belong to the process."""
+
+    def __init__(self, errors: TextIO):
+        self.errors = errors
+        self.routers: Dict[int, Router] = {}
+        self.lists: Dict[int, Tuple[face.NodeRow, ...]] = {}
+
+    def batch(self, line: bytes) -> Dict[str, Any]:
+        try:
+            whole = Fields("batch", json.loads(line))
+        except ValueError as fault:
+            raise Malformed(f"batch: not JSON in UTF-8 ({fault})") from None
+        wall, number = whole.whole("wall", codec.REQUIRED), whole.whole("seq", codec.REQUIRED)
+        outbox: List[Dict[str, Any]] = []
+        for event in whole.rows("input"):
+            outbox.extend(self.event(wall // codec.UNIT, event))
+        return {"seq": number, "outbox": outbox}
+
+    def event(self, now: int, event: Any) -> List[Dict[str, Any]]:
+        if not isinstance(event, dict) or len(event) != 1:
+            raise Malformed("batch: an entry of field 'input' is not an object with one key")
+        (name, values), = event.items()
+        fields = Fields(name, values)
+        if name == "MANIFEST":
+            self.lists[fields.whole("list")] = codec.node_rows(fields)
+            return []
+        director = fields.whole("director", codec.REQUIRED)
+        try:
+            return codec.messages(director, self.hand_over(now, director, fields))
+        except Malformed as fault:
+            return [self.fatal(director, str(fault))]
+        except Exception as fault:  # the instance is at fault: say so on the wire, and where on standard error
+            text = f"{name}: the decision code failed: {type(fault).__name__}: {fault}"
+            reply = self.fatal(director, text)
+            self.errors.write(traceback.format_exc())
+            return [reply]
+
+    def hand_over(self, now: int, director: int, fields: Fields) -> List[face.Action]:
+        name = fields.message
+        if name == "SPAWN":
+            router = self.routers[director] = Router(codec.deployment(fields.inner("settings")), fields.whole("seed"))
+            return router.step(now, face.Started())
+        if name == "STOP":
+            self.routers.pop(director, None)
+            return []
+        happened = codec.happening(fields, self.lists)
+        if happened is None:
+            self.errors.write(f"ironhinge: {name}: unknown event, passed over\n")
+            return []
+        if director not in self.routers:
+            raise Malformed(f"{name}: field 'director' names instance {director}, which has not started")
+        return self.routers[director].step(now, happened)
+
+    def fatal(self, director: int, text: str) -> Dict[str, Any]:
+        self.errors.write(f"ironhinge: {text}\n")
+        return {"FATAL": {"director": director, "msg": text}}
+
+
+def serve(source: BinaryIO, sink: BinaryIO, errors: TextIO) -> int:
+    """Answers batches until input ends; 2 when a batch cannot be read."""
+    host = Host(errors)
+    for line in source:
+        if not line.strip():
+            continue
+        try:
+            reply = host.batch(line)
+        except Malformed as fault:
+            errors.write(f"ironhinge: {fault}\n")
+            return 2
+        sink.write(json.dumps(reply, separators=(",", ":")).encode() + b"\n")
+        sink.flush()
+    return 0
