--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -104,6 +104,7 @@
     def __init__(self, row: face.NodeRow):
         self.id, self.salt, self.row = row.id, salt(row.id), row
         self.table = Table()
+        self.out = 0  # dispatches out that this node is part of, as node or source
         self.reset()
 
     def reset(self) -> None:
@@ -111,7 +112,6 @@
         self.streak = 0  # failures since the last success
         self.benched_until = 0
         self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
-        self.out = 0  # dispatches out that this node is part of, as node or source
         self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
         self.sent: Deque[Tuple[int, float]] = deque()  # while cold: what was sent when
         self.sent_sum = 0.0
@@ -139,6 +139,8 @@
         self.sent_at = 0
         self.may_have_run: Optional[Tuple[Node, int]] = None  # the first node where it may have run, and when it was sent
         self.streaming = False
+        self.lately = False  # its object was asked for not long ago
+        self.over = False  # its client has left
 
 
 class Router:
@@ -170,9 +172,7 @@
         elif kind is face.Listed:
             self.learn_list(what)
         elif kind is face.Left:
-            req = self.reqs.pop(what.id, None)
-            if req is not None and req.node is not None and self.facts.cancels and not req.streaming:
-                self.acts.append(face.CallOff(req.id, req.dispatches - 1))
+            self.client_left(what.id)
         elif kind is face.Purged:
             self.purge(what)
         elif kind is face.Streaming and what.id in self.reqs:
@@ -250,6 +250,15 @@
         req.lately = last is not None and self.now - last <= HALF_LIFE * self.facts.routers_here
         self.go_on(req)
 
+    def client_left(self, name: str) -> None:
+        """Nothing more is owed, but the dispatch that is out still weighs on its nodes until its outcome comes."""
+        req = self.reqs.get(name)
+        if req is None or req.over:
+            return
+        req.over = True
+        if self.facts.cancels:
+            self.acts.append(face.CallOff(req.id, req.dispatches - 1))
+
     def go_on(self, req: Req) -> None:
         """The walk: the next cache of the object's order, else the first one as a pass-through, else past the caches."""
         facts = self.facts
@@ -341,7 +350,7 @@
             req.failed.append(blamed)
         if result in ("error", "timeout", "reset", "cancelled") and req.may_have_run is None:
             req.may_have_run = node, req.sent_at
-        if what.closed or req.streaming:
+        if what.closed or req.streaming or req.over:
             del self.reqs[req.id]
         else:
             self.go_on(req)
