--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -25,7 +25,10 @@
 HIGH, MIDDLE = 32, 96  # entries of a table that rank high; and the next that rank middle
 TABLE = 4096  # entries of a table, and objects remembered as seen
 FILLS_BOUND = 24  # fills under way at a parent, ours, above which the object's next parent is asked
-STREAK = 2  # failures in a row that bench a node
+LATELY = 0.25  # weight of the newest outcome in a node's share of failures
+BAD, WELL = 0.5, 0.25  # shares of failures above which a node is benched, and below which it is trusted again
+FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time
+SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
 COLD_MARGIN = 0.6  # part of a cold node's budget that we dare use: its capacity is judged, not told
@@ -104,12 +107,14 @@
     def __init__(self, row: face.NodeRow):
         self.id, self.salt, self.row = row.id, salt(row.id), row
         self.table = Table()
-        self.out = 0  # dispatches out that this node is part of, as node or source
+        self.out: Dict[str, Req] = {}  # reqs with a dispatch out that this node is part of, as node or source
         self.reset()
 
     def reset(self) -> None:
         """Forgets what a restart makes void."""
-        self.streak = 0  # failures since the last success
+        self.bad = 0.0  # share of failures in its latest outcomes
+        self.answered_at = 0  # when it last showed that it is alive
+        self.full_until = 0
         self.benched_until = 0
         self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
         self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
@@ -283,7 +288,7 @@
             return self.dispatch(req, fit[0], source, 0)
         if facts.bypass and source is not None and self.allowed(req, source):
             return self.dispatch(req, source, source, 0)
-        rest = [node for node in able if self.in_budget(node, weight)]
+        rest = [node for node in able if self.now >= node.full_until and self.in_budget(node, weight)]
         if rest and source is not None:
             return self.dispatch(req, min(rest, key=lambda node: (req.failed.count(node), node.benched_until)), source, 0)
         self.give_up(req)
@@ -291,7 +296,7 @@
     def fill_source(self, req: Req) -> Optional[Node]:
         """A hash order of the object over all listed parents, the origin when none of them will do."""
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
-            if node not in req.failed and node.out < FILLS_BOUND and self.fit(node, req.work):
+            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(node, req.work):
                 return node
         return self.origin
 
@@ -317,7 +322,7 @@
         req.dispatches += 1
         for each in (req.node, req.source):
             if each is not None:
-                each.out += 1
+                each.out[req.id] = req
                 if self.is_cold(each):
                     work = req.vhost.mean_work() if each in self.caches else max(req.work, req.vhost.mean_work())
                     each.sent.append((now, work))
@@ -332,7 +337,7 @@
         req.node = req.source = None
         for each in (node, source):
             if each is not None:
-                each.out = max(0, each.out - 1)
+                each.out.pop(req.id, None)
         if result == "done":
             self.succeeded(node, req.work)
             if source is not None and what.note in (2, 3, 4):
@@ -342,12 +347,7 @@
             if source is not None:
                 req.failed.append(source)
         elif result not in ("cancelled", "unsent"):
-            blamed = source if what.note in (6, 7, 8, 10) and source is not None else node
-            if what.note != 9:
-                self.failed(blamed, result)
-                if blamed is node and source is not None and result in ("timeout", "error"):
-                    self.failed(source, result)
-            req.failed.append(blamed)
+            req.failed.append(self.blame(req, node, source, what))
         if result in ("error", "timeout", "reset", "cancelled") and req.may_have_run is None:
             req.may_have_run = node, req.sent_at
         if what.closed or req.streaming or req.over:
@@ -376,21 +376,44 @@
     # Health
 
     def succeeded(self, node: Node, work: int) -> None:
-        node.streak, node.bench = 0, 0.0
-        node.benched_until = 0
+        node.answered_at = self.now
         node.carried(work, self.now)
-
-    def failed(self, node: Node, result: str) -> None:
-        """Guards against nodes that are dead, silent or failing; harms little where a healthy one failed by chance."""
-        node.streak += 1
-        if self.now < node.benched_until:
-            return
-        if node.streak >= STREAK or result == "unconnected":
-            node.bench = min(BENCH_MOST, max(BENCH, 2 * node.bench))
-            node.benched_until = self.now + int(node.bench * self.longest)
+        node.bad *= 1 - LATELY
+        if node.bench and self.now >= node.benched_until:
+            node.bad = min(node.bad, BAD) * 0.5
+            if node.bad < WELL:
+                node.bench = 0.0
+
+    def blame(self, req: Req, node: Node, source: Optional[Node], what: face.Outcome) -> Node:
+        """Finds who failed a dispatch, the cache or its source: by the note if it tells, else whoever fails more lately.
+        Guards against a bad parent condemning good caches, and against nodes that are dead, silent or failing."""
+        result, culprit = what.result, node
+        if result == "full" and (what.took <= 2 * self.facts.tick or source is None or what.note == 9):
+            # turned away at the door: alive, but crowded
+            node.full_until = self.now + int(FULL * req.vhost.mean_work())
+            return node
+        if source is not None and result in ("error", "full", "timeout"):
+            if what.note in (6, 7, 8, 10) or (not what.note and source.bad >= node.bad) or result == "full":
+                culprit = source
+        if result == "timeout" and culprit.answered_at > req.sent_at:
+            return culprit  # slow, not silent
+        if result != "timeout":
+            node.answered_at = self.now
+        culprit.bad += LATELY * (1 - culprit.bad)
+        if (culprit.bad > BAD or result == "unconnected") and self.now >= culprit.benched_until:
+            culprit.bad = max(culprit.bad, BAD)
+            culprit.bench = min(BENCH_MOST, max(BENCH, 2 * culprit.bench))
+            culprit.benched_until = self.now + int(culprit.bench * self.longest)
+        return culprit
+
+    def silent(self, node: Node) -> bool:
+        """True when a dispatch is overdue and the node has shown no life since it was sent. Guards against nodes that take
+        reqs and never answer, before the time-outs tell."""
+        return any(node.answered_at <= req.sent_at and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
+                   for req in node.out.values())
 
     def fit(self, node: Node, work: float) -> bool:
-        if node.bench and (self.now < node.benched_until or node.out):
+        if self.now < max(node.benched_until, node.full_until) or node.bench and node.out or self.silent(node):
             return False
         return self.in_budget(node, work)
 
