--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -388,18 +388,21 @@
         """Finds who failed a dispatch, the cache or its source: by the note if it tells, else whoever fails more lately.
         Guards against a bad parent condemning good caches, and against nodes that are dead, silent or failing."""
         result, culprit = what.result, node
-        if result == "full" and (what.took <= 2 * self.facts.tick or source is None or what.note == 9):
-            # turned away at the door: alive, but crowded
-            node.full_until = self.now + int(FULL * req.vhost.mean_work())
+        quick = what.took <= 2 * self.facts.tick  # too soon for word from any source
+        if result == "full" and (quick or source is None or what.note == 9):
+            node.full_until = self.now + int(FULL * req.vhost.mean_work())  # turned away at the door: alive, but crowded
             return node
-        if source is not None and result in ("error", "full", "timeout"):
-            if what.note in (6, 7, 8, 10) or (not what.note and source.bad >= node.bad) or result == "full":
+        suspects = [node]
+        if source is not None and not quick and result != "unconnected":
+            suspects.append(source)
+            if what.note in (6, 7, 8, 10) or result == "full" or (not what.note and source.bad >= node.bad):
                 culprit = source
         if result == "timeout" and culprit.answered_at > req.sent_at:
             return culprit  # slow, not silent
         if result != "timeout":
             node.answered_at = self.now
-        culprit.bad += LATELY * (1 - culprit.bad)
+        for each in suspects:
+            each.bad += LATELY * (1 - each.bad)
         if (culprit.bad > BAD or result == "unconnected") and self.now >= culprit.benched_until:
             culprit.bad = max(culprit.bad, BAD)
             culprit.bench = min(BENCH_MOST, max(BENCH, 2 * culprit.bench))
