--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -29,6 +29,9 @@
 BAD, WELL = 0.5, 0.25  # shares of failures above which a node is benched, and below which it is trusted again
 FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time
 SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
+PACE_MEMORY = 0.25  # half-life of what a node's pace was seen to be, as a share of the longest client timeout
+PACE_PRIOR = 0.1  # work at full pace that a node is taken to have done besides, as a share of the same
+CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
 COLD_MARGIN = 0.6  # part of a cold node's budget that we dare use: its capacity is judged, not told
@@ -115,6 +118,7 @@
         self.bad = 0.0  # share of failures in its latest outcomes
         self.answered_at = 0  # when it last showed that it is alive
         self.full_until = 0
+        self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, against sending time at full pace
         self.benched_until = 0
         self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
         self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
@@ -125,6 +129,10 @@
         self.carry = self.carry_now(now) + work / CARRY
         self.carry_at = now
 
+    def paced(self, took: float, work: float, now: int, memory: float) -> None:
+        fade = 2 ** ((self.pace_at - now) / memory)
+        self.took, self.work, self.pace_at = self.took * fade + took, self.work * fade + work, now
+
     def carry_now(self, now: int) -> float:
         return self.carry * 2 ** ((self.carry_at - now) / CARRY)
 
@@ -142,6 +150,8 @@
         self.node: Optional[Node] = None  # of the dispatch that is out
         self.source: Optional[Node] = None
         self.sent_at = 0
+        facts = vhost.facts
+        self.target_at = min(self.left_at, now + facts.target + int(facts.stretch * work))
         self.may_have_run: Optional[Tuple[Node, int]] = None  # the first node where it may have run, and when it was sent
         self.streaming = False
         self.lately = False  # its object was asked for not long ago
@@ -272,7 +282,7 @@
         weight = req.vhost.mean_work()
         order = sorted(self.caches, key=lambda node: mix(req.salt, node.salt), reverse=True)
         able = [node for node in order if self.allowed(req, node)]
-        fit = [node for node in able if node not in req.failed and self.fit(node, weight)]
+        fit = [node for node in able if node not in req.failed and self.fit(node, weight) and self.in_time(req, node)]
         source = self.fill_source(req)
         if req.cacheable and len(req.asked) < K:
             for node in fit:
@@ -288,7 +298,8 @@
             return self.dispatch(req, fit[0], source, 0)
         if facts.bypass and source is not None and self.allowed(req, source):
             return self.dispatch(req, source, source, 0)
-        rest = [node for node in able if self.now >= node.full_until and self.in_budget(node, weight)]
+        rest = [node for node in able if self.now >= node.full_until and self.in_budget(node, weight)
+                and self.in_time(req, node)]
         if rest and source is not None:
             return self.dispatch(req, min(rest, key=lambda node: (req.failed.count(node), node.benched_until)), source, 0)
         self.give_up(req)
@@ -296,9 +307,10 @@
     def fill_source(self, req: Req) -> Optional[Node]:
         """A hash order of the object over all listed parents, the origin when none of them will do."""
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
-            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(node, req.work):
+            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(node, req.work) and (
+                    self.in_time(req, node)):
                 return node
-        return self.origin
+        return self.origin if self.origin is not None and self.in_time(req, self.origin) else None
 
     def dispatch(self, req: Req, node: Node, source: Node, rank: int) -> None:
         facts, now = self.facts, self.now
@@ -339,9 +351,11 @@
             if each is not None:
                 each.out.pop(req.id, None)
         if result == "done":
+            filled = source is not None and what.note in (2, 3, 4)
             self.succeeded(node, req.work)
-            if source is not None and what.note in (2, 3, 4):
+            if filled:
                 self.succeeded(source, req.work)
+            (source if filled else node).paced(what.took, req.work, self.now, PACE_MEMORY * self.longest)
         elif result == "miss":
             self.succeeded(node, 0)
             if source is not None:
@@ -397,6 +411,8 @@
             suspects.append(source)
             if what.note in (6, 7, 8, 10) or result == "full" or (not what.note and source.bad >= node.bad):
                 culprit = source
+        if result == "timeout":
+            culprit.paced(what.took, req.work, self.now, PACE_MEMORY * self.longest)
         if result == "timeout" and culprit.answered_at > req.sent_at:
             return culprit  # slow, not silent
         if result != "timeout":
@@ -420,6 +436,16 @@
             return False
         return self.in_budget(node, work)
 
+    def in_time(self, req: Req, node: Node) -> bool:
+        """Whether the node's present pace would get the req done within its target; one that is late already only goes
+        where there is room. Guards against crowding of any cause: overload, a slow node, a full link, a crowded origin.
+        May harm where a node's pace was bad by chance: it is forgotten within PACE_MEMORY."""
+        fade, prior = 2 ** ((node.pace_at - self.now) / (PACE_MEMORY * self.longest)), PACE_PRIOR * self.longest
+        pace = (node.took * fade + prior) / (node.work * fade + prior)
+        if self.now + req.work > req.target_at:
+            return pace < CROWDED
+        return self.now + pace * req.work <= req.target_at
+
     # Cold nodes
 
     def is_cold(self, node: Node) -> bool:
