--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -310,7 +310,8 @@
             if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(node, req.work) and (
                     self.in_time(req, node)):
                 return node
-        return self.origin if self.origin is not None and self.in_time(req, self.origin) else None
+        origin = self.origin
+        return origin if origin is not None and self.fit(origin, req.work) and self.in_time(req, origin) else None
 
     def dispatch(self, req: Req, node: Node, source: Node, rank: int) -> None:
         facts, now = self.facts, self.now
@@ -403,13 +404,15 @@
         Guards against a bad parent condemning good caches, and against nodes that are dead, silent or failing."""
         result, culprit = what.result, node
         quick = what.took <= 2 * self.facts.tick  # too soon for word from any source
-        if result == "full" and (quick or source is None or what.note == 9):
-            node.full_until = self.now + int(FULL * req.vhost.mean_work())  # turned away at the door: alive, but crowded
-            return node
+        if result == "full":  # turned away at the door of one or the other: alive, but crowded
+            culprit = node if quick or source is None or what.note == 9 else source
+            culprit.full_until = self.now + int(FULL * req.vhost.mean_work())
+            node.answered_at = self.now
+            return culprit
         suspects = [node]
         if source is not None and not quick and result != "unconnected":
             suspects.append(source)
-            if what.note in (6, 7, 8, 10) or result == "full" or (not what.note and source.bad >= node.bad):
+            if what.note in (6, 7, 8, 10) or (not what.note and source.bad >= node.bad):
                 culprit = source
         if result == "timeout":
             culprit.paced(what.took, req.work, self.now, PACE_MEMORY * self.longest)
