--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -22,7 +22,7 @@
 
 K = 2  # caches that a req walks
 HALF_LIFE = 100_000  # of the rates in a cache's table
-HIGH, MIDDLE = 32, 96  # entries of a table that rank high; and the next that rank middle
+HIGH, MIDDLE = 16, 48  # entries of a table that rank high; and the next that rank middle
 TABLE = 4096  # entries of a table, and objects remembered as seen
 FILLS_BOUND = 24  # fills under way at a parent, ours, above which the object's next parent is asked
 LATELY = 0.25  # weight of the newest outcome in a node's share of failures
@@ -169,7 +169,7 @@
         self.origin: Optional[Node] = None
         self.listed = False
         self.reqs: Dict[str, Req] = {}
-        self.seen: Dict[int, int] = {}  # when an object was last asked for; the longest unseen first
+        self.seen: Dict[Tuple[int, int], int] = {}  # when an object's part was last asked for; the longest unseen first
         self.usual: Dict[int, float] = {}  # by kind: what a warm node carries for us, in work a unit of time
         self.purged_objects: Dict[int, int] = {}  # the newest purge known
         self.purged_groups: Dict[int, int] = {}
@@ -258,10 +258,10 @@
         else:
             work = int(vhost.mean_work())
         req = self.reqs[came.id] = Req(came, vhost, self.now, work)
-        last = self.seen.pop(came.obj, None)
+        last = self.seen.pop(req.key, None)
         if len(self.seen) >= TABLE:
             del self.seen[next(iter(self.seen))]
-        self.seen[came.obj] = self.now
+        self.seen[req.key] = self.now
         req.lately = last is not None and self.now - last <= HALF_LIFE * self.facts.routers_here
         self.go_on(req)
 
