--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -307,9 +307,8 @@
     def fill_source(self, req: Req) -> Optional[Node]:
         """A hash order of the object over all listed parents, the origin when none of them will do."""
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
-            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(node, req.work) and (
-                    self.in_time(req, node)):
-                return node
+            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(node, req.work):
+                return node if self.in_time(req, node) else None
         origin = self.origin
         return origin if origin is not None and self.fit(origin, req.work) and self.in_time(req, origin) else None
 
