--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -34,7 +34,7 @@
 CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
-COLD_MARGIN = 1.0  # part of a cold node's budget that we dare use: its capacity is judged, not told
+COLD_MARGIN = 0.75  # part of a cold node's budget that we dare use: its capacity is judged, not told
 CARRY = 100_000  # time over which the work that a node carries is averaged
 MEAN_WEIGHT = 20  # reqs that the first guess of a vhost's mean sending time weighs
 ROOM = 1.5  # a dispatch may take this many times its sending time before its time-out may come
@@ -73,7 +73,10 @@
         self.work_sum, self.work_count = facts.target * MEAN_WEIGHT, MEAN_WEIGHT
 
     def mean_work(self) -> float:
-        return self.work_sum / self.work_count
+        """On the high side while few reqs were seen."""
+        seen = self.work_count - MEAN_WEIGHT
+        guessed = self.facts.target * MEAN_WEIGHT
+        return max(self.work_sum / self.work_count, (self.work_sum - guessed) / seen if seen else 0)
 
     def learn(self, work: int) -> None:
         self.work_sum += work
@@ -241,8 +244,10 @@
 
     def age_limit(self, req: Req) -> int:
         """The oldest copy that will do; 0 for what the vhost allows by itself."""
-        at = max(self.purged_objects.get(req.key[0], -1), self.purged_groups.get(req.group, -1))
-        if at < 0 or self.now > at + self.facts.purge_settles:
+        purges = [book[name] for book, name in ((self.purged_objects, req.key[0]), (self.purged_groups, req.group))
+                  if name in book]
+        at = max(purges, default=0)
+        if not purges or self.now > at + self.facts.purge_settles:
             return 0
         limit = max(1, self.now - at)
         fresh = req.vhost.facts.fresh
@@ -279,10 +284,9 @@
         facts = self.facts
         if req.dispatches >= facts.max_dispatches or self.now + max(req.work, 2 * facts.tick) >= req.left_at:
             return self.give_up(req)
-        weight = req.vhost.mean_work()
         order = sorted(self.caches, key=lambda node: mix(req.salt, node.salt), reverse=True)
         able = [node for node in order if self.allowed(req, node)]
-        fit = [node for node in able if node not in req.failed and self.fit(node, weight) and self.in_time(req, node)]
+        fit = [node for node in able if node not in req.failed and self.fit(req, node) and self.in_time(req, node)]
         source = self.fill_source(req)
         if req.cacheable and len(req.asked) < K:
             for node in fit:
@@ -298,7 +302,7 @@
             return self.dispatch(req, fit[0], source, 0)
         if facts.bypass and source is not None and self.allowed(req, source):
             return self.dispatch(req, source, source, 0)
-        rest = [node for node in able if self.now >= node.full_until and self.in_budget(node, weight)
+        rest = [node for node in able if self.now >= node.full_until and self.in_budget(req, node)
                 and self.in_time(req, node)]
         if rest and source is not None:
             return self.dispatch(req, min(rest, key=lambda node: (req.failed.count(node), node.benched_until)), source, 0)
@@ -307,10 +311,10 @@
     def fill_source(self, req: Req) -> Optional[Node]:
         """A hash order of the object over all listed parents, the origin when none of them will do."""
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
-            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(node, req.work):
+            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(req, node):
                 return node if self.in_time(req, node) else None
         origin = self.origin
-        return origin if origin is not None and self.fit(origin, req.work) and self.in_time(req, origin) else None
+        return origin if origin is not None and self.fit(req, origin) and self.in_time(req, origin) else None
 
     def dispatch(self, req: Req, node: Node, source: Node, rank: int) -> None:
         facts, now = self.facts, self.now
@@ -336,7 +340,7 @@
             if each is not None:
                 each.out[req.id] = req
                 if self.is_cold(each):
-                    work = req.vhost.mean_work() if each in self.caches else max(req.work, req.vhost.mean_work())
+                    work = self.weight(req, each)
                     each.sent.append((now, work))
                     each.sent_sum += work
         self.acts.append(act)
@@ -433,10 +437,10 @@
         return any(node.answered_at <= req.sent_at and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
                    for req in node.out.values())
 
-    def fit(self, node: Node, work: float) -> bool:
+    def fit(self, req: Req, node: Node) -> bool:
         if self.now < max(node.benched_until, node.full_until) or node.bench and node.out or self.silent(node):
             return False
-        return self.in_budget(node, work)
+        return self.in_budget(req, node)
 
     def in_time(self, req: Req, node: Node) -> bool:
         """Whether the node's present pace would get the req done within its target; one that is late already only goes
@@ -454,7 +458,12 @@
         length = self.facts.parent_cold if node.row.kind == self.facts.parent_kind else self.facts.cold
         return bool(node.row.started) and self.now < node.row.started + length
 
-    def in_budget(self, node: Node, work: float) -> bool:
+    def weight(self, req: Req, node: Node) -> float:
+        """What a dispatch weighs in a budget: at a cache its vhost's mean sending time, at a parent its own if longer."""
+        mean = req.vhost.mean_work()
+        return mean if node.row.zone == self.facts.zone else max(req.work, mean)
+
+    def in_budget(self, req: Req, node: Node) -> bool:
         """Guards 'no cold node pushed over'. Our share of a budget is taken from what we ourselves have warm nodes of
         its kind carry: summed over all routers that stays under what such a node can do."""
         if node is self.origin or not self.is_cold(node):
@@ -471,7 +480,7 @@
             capacity = node.row.weight / (facts.routers if parent else facts.routers_here)
         else:
             capacity = self.carried_by_kind(node.row.kind)
-        return node.sent_sum + work <= COLD_MARGIN * multiple * share * capacity * facts.fall
+        return node.sent_sum + self.weight(req, node) <= COLD_MARGIN * multiple * share * capacity * facts.fall
 
     def carried_by_kind(self, kind: int) -> float:
         warm = [node for node in (self.parents if kind == self.facts.parent_kind else self.caches)
