Scale a node's seen pace by the dispatches out now against then

Cause: the pace seen is as old as the transfers that showed it, so crowding swung: seconds of late answers, then seconds of denials at an idle link.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -31,6 +31,7 @@
 SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
 PACE_MEMORY = 0.25  # half-life of what a node's pace was seen to be, as a share of the longest client timeout
 PACE_PRIOR = 0.1  # work at full pace that a node is taken to have done besides, as a share of the same
+BUSY = 1.5  # pace from which more dispatches out than then are taken to slow a node further
 CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
@@ -122,6 +123,7 @@
         self.answered_at = 0  # when it last showed that it is alive
         self.full_until = 0
         self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, against sending time at full pace
+        self.crowd = 0.0  # dispatches that were out then, weighted by work
         self.benched_until = 0
         self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
         self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
@@ -132,9 +134,10 @@
         self.carry = self.carry_now(now) + work / CARRY
         self.carry_at = now
 
-    def paced(self, took: float, work: float, now: int, memory: float) -> None:
+    def paced(self, took: float, req: Req, now: int, memory: float) -> None:
         fade = 2 ** ((self.pace_at - now) / memory)
-        self.took, self.work, self.pace_at = self.took * fade + took, self.work * fade + work, now
+        self.took, self.work, self.pace_at = self.took * fade + took, self.work * fade + req.work, now
+        self.crowd = self.crowd * fade + req.work * (req.crowd[self.id] + len(self.out) + 1) / 2
 
     def carry_now(self, now: int) -> float:
         return self.carry * 2 ** ((self.carry_at - now) / CARRY)
@@ -158,6 +161,7 @@
         self.may_have_run: Optional[Tuple[Node, int]] = None  # the first node where it may have run, and when it was sent
         self.streaming = False
         self.lately = False  # its object was asked for not long ago
+        self.crowd: Dict[str, int] = {}  # dispatches out at its node and source, at its own dispatch
         self.over = False  # its client has left
 
 
@@ -339,6 +343,7 @@
         for each in (req.node, req.source):
             if each is not None:
                 each.out[req.id] = req
+                req.crowd[each.id] = len(each.out)
                 if self.is_cold(each):
                     work = self.weight(req, each)
                     each.sent.append((now, work))
@@ -359,7 +364,7 @@
             self.succeeded(node, req.work)
             if filled:
                 self.succeeded(source, req.work)
-            (source if filled else node).paced(what.took, req.work, self.now, PACE_MEMORY * self.longest)
+            (source if filled else node).paced(what.took, req, self.now, PACE_MEMORY * self.longest)
         elif result == "miss":
             self.succeeded(node, 0)
             if source is not None:
@@ -418,7 +423,7 @@
             if what.note in (6, 7, 8, 10) or (not what.note and source.bad >= node.bad):
                 culprit = source
         if result == "timeout":
-            culprit.paced(what.took, req.work, self.now, PACE_MEMORY * self.longest)
+            culprit.paced(what.took, req, self.now, PACE_MEMORY * self.longest)
         if result == "timeout" and culprit.answered_at > req.sent_at:
             return culprit  # slow, not silent
         if result != "timeout":
@@ -448,6 +453,10 @@
         May harm where a node's pace was bad by chance: it is forgotten within PACE_MEMORY."""
         fade, prior = 2 ** ((node.pace_at - self.now) / (PACE_MEMORY * self.longest)), PACE_PRIOR * self.longest
         pace = (node.took * fade + prior) / (node.work * fade + prior)
+        if node.crowd:
+            ratio = (len(node.out) + 1) * node.work / node.crowd
+            if ratio < 1 or pace > BUSY:
+                pace = max(1.0, pace * ratio)
         if self.now + req.work > req.target_at:
             return pace < CROWDED
         return self.now + pace * req.work <= req.target_at
