--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -31,7 +31,6 @@
 SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
 PACE_MEMORY = 0.25  # half-life of what a node's pace was seen to be, as a share of the longest client timeout
 PACE_PRIOR = 0.1  # work at full pace that a node is taken to have done besides, as a share of the same
-BUSY = 1.5  # pace from which more dispatches out than then are taken to slow a node further
 CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
@@ -454,9 +453,7 @@
         fade, prior = 2 ** ((node.pace_at - self.now) / (PACE_MEMORY * self.longest)), PACE_PRIOR * self.longest
         pace = (node.took * fade + prior) / (node.work * fade + prior)
         if node.crowd:
-            ratio = (len(node.out) + 1) * node.work / node.crowd
-            if ratio < 1 or pace > BUSY:
-                pace = max(1.0, pace * ratio)
+            pace = max(1.0, pace * (len(node.out) + 1) * node.work / node.crowd)
         if self.now + req.work > req.target_at:
             return pace < CROWDED
         return self.now + pace * req.work <= req.target_at
