--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -31,6 +31,7 @@
 SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
 PACE_MEMORY = 0.25  # half-life of what a node's pace was seen to be, as a share of the longest client timeout
 PACE_PRIOR = 0.1  # work at full pace that a node is taken to have done besides, as a share of the same
+ADVICE = 0.25  # part of the time to spare before its target that a denied client is asked to stay away
 CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
@@ -393,7 +394,9 @@
         vhost = req.vhost.facts
         harmless = vhost.effect == "replayable" or req.may_have_run is None or (
             vhost.effect == "uniqued" and vhost.scope == "all" and self.now < req.may_have_run[1] + vhost.window)
-        self.acts.append(face.Deny(req.id, self.facts.backoff) if harmless else face.Abort(req.id))
+        slack = max(0, req.target_at - self.now - req.work)
+        advice = min(self.facts.backoff, int(ADVICE * slack))  # to come back while the target can still be met
+        self.acts.append(face.Deny(req.id, advice) if harmless else face.Abort(req.id))
 
     # Health
 
