--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -32,6 +32,7 @@
 PACE_MEMORY = 0.25  # half-life of what a node's pace was seen to be, as a share of the longest client timeout
 PACE_PRIOR = 0.1  # work at full pace that a node is taken to have done besides, as a share of the same
 ADVICE = 0.25  # part of the time to spare before its target that a denied client is asked to stay away
+WAITED = 0.5  # part of the first-byte target that a client's repeat is taken to have used up
 CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
@@ -267,6 +268,8 @@
         else:
             work = int(vhost.mean_work())
         req = self.reqs[came.id] = Req(came, vhost, self.now, work)
+        if came.repeat:  # its client has waited before, and the first ask counts
+            req.target_at -= int(WAITED * vhost.facts.target)
         last = self.seen.pop(req.key, None)
         if len(self.seen) >= TABLE:
             del self.seen[next(iter(self.seen))]
