Bench a node only for failing more than its peers

Told from dying caches by its evenness. It should also hold against anything common to a location (its network, its link); it may harm where most nodes of a location die at once: then benches come later.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -435,7 +435,9 @@
             node.answered_at = self.now
         for each in suspects:
             each.bad += LATELY * (1 - each.bad)
-        if (culprit.bad > BAD or result == "unconnected") and self.now >= culprit.benched_until:
+        peers = [each.bad for each in (self.parents if culprit in self.parents else self.caches) if each is not culprit]
+        usual = sum(peers) / len(peers) if peers else 0.0  # what fails everywhere is no node's own fault
+        if (culprit.bad > BAD + usual or result == "unconnected") and self.now >= culprit.benched_until:
             culprit.bad = max(culprit.bad, BAD)
             culprit.bench = min(BENCH_MOST, max(BENCH, 2 * culprit.bench))
             culprit.benched_until = self.now + int(culprit.bench * self.longest)
