--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -175,6 +175,7 @@
         self.caches: List[Node] = []
         self.parents: List[Node] = []
         self.origin: Optional[Node] = None
+        self.inlet = Node(face.NodeRow("", "ready", 0, facts.zone, 0, 0.0, -2))
         self.listed = False
         self.reqs: Dict[str, Req] = {}
         self.seen: Dict[Tuple[int, int], int] = {}  # when an object's part was last asked for; the longest unseen first
@@ -317,9 +318,12 @@
 
     def fill_source(self, req: Req) -> Optional[Node]:
         """A hash order of the object over all listed parents, the origin when none of them will do."""
+        if not self.in_time(req, self.inlet):
+            return None
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
             if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(req, node):
-                return node if self.in_time(req, node) else None
+                if self.in_time(req, node):
+                    return node
         origin = self.origin
         return origin if origin is not None and self.fit(req, origin) and self.in_time(req, origin) else None
 
@@ -343,7 +347,8 @@
                              False)
         req.node, req.source, req.sent_at = node, source if source is not node else None, now
         req.dispatches += 1
-        for each in (req.node, req.source):
+        inlet = self.inlet if req.source is not None or node.row.zone != facts.zone else None
+        for each in (req.node, req.source, inlet):
             if each is not None:
                 each.out[req.id] = req
                 req.crowd[each.id] = len(each.out)
@@ -359,7 +364,7 @@
             return
         node, source, result = req.node, req.source, what.result
         req.node = req.source = None
-        for each in (node, source):
+        for each in (node, source, self.inlet):
             if each is not None:
                 each.out.pop(req.id, None)
         if result == "done":
@@ -367,6 +372,8 @@
             self.succeeded(node, req.work)
             if filled:
                 self.succeeded(source, req.work)
+            if filled or node.row.zone != self.facts.zone:
+                self.inlet.paced(what.took, req, self.now, PACE_MEMORY * self.longest)
             (source if filled else node).paced(what.took, req, self.now, PACE_MEMORY * self.longest)
         elif result == "miss":
             self.succeeded(node, 0)
