Judge the link in by all fills; let a crowded source's fills move on when the link has room

Should also hold against a slow parent or origin of any cause; may harm where one very slow source makes the whole link look crowded for a while. Tests for each failure found so far.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -109,13 +109,34 @@
         return len(self.order) - bisect_right(self.order, new)
 
 
-class Node:
+class Flow:
+    """What is under way somewhere, and how fast things were seen to go there."""
+
+    def __init__(self):
+        self.out: Dict[str, Req] = {}  # reqs with a dispatch out that takes this way
+        self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, against that at full pace
+        self.crowd = 0.0  # dispatches that were out then, weighted by work
+
+    def paced(self, took: float, req: Req, now: int, memory: float) -> None:
+        fade = 2 ** ((self.pace_at - now) / memory)
+        self.took, self.work, self.pace_at = self.took * fade + took, self.work * fade + req.work, now
+        self.crowd = self.crowd * fade + req.work * (req.crowd[self] + len(self.out) + 1) / 2
+
+    def pace(self, now: int, memory: float, prior: float) -> float:
+        """How many times its sending time a req would take now: what was seen, scaled by the dispatches out now against
+        then, since what was seen is as old as the transfers that showed it."""
+        fade = 2 ** ((self.pace_at - now) / memory)
+        seen = (self.took * fade + prior) / (self.work * fade + prior)
+        return max(1.0, seen * (len(self.out) + 1) * self.work / self.crowd) if self.crowd else seen
+
+
+class Node(Flow):
     """All that is known of a cache, a parent or the origin."""
 
     def __init__(self, row: face.NodeRow):
+        super().__init__()
         self.id, self.salt, self.row = row.id, salt(row.id), row
         self.table = Table()
-        self.out: Dict[str, Req] = {}  # reqs with a dispatch out that this node is part of, as node or source
         self.reset()
 
     def reset(self) -> None:
@@ -123,8 +144,7 @@
         self.bad = 0.0  # share of failures in its latest outcomes
         self.answered_at = 0  # when it last showed that it is alive
         self.full_until = 0
-        self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, against sending time at full pace
-        self.crowd = 0.0  # dispatches that were out then, weighted by work
+        self.took = self.work = self.crowd = 0.0
         self.benched_until = 0
         self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
         self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
@@ -135,11 +155,6 @@
         self.carry = self.carry_now(now) + work / CARRY
         self.carry_at = now
 
-    def paced(self, took: float, req: Req, now: int, memory: float) -> None:
-        fade = 2 ** ((self.pace_at - now) / memory)
-        self.took, self.work, self.pace_at = self.took * fade + took, self.work * fade + req.work, now
-        self.crowd = self.crowd * fade + req.work * (req.crowd[self.id] + len(self.out) + 1) / 2
-
     def carry_now(self, now: int) -> float:
         return self.carry * 2 ** ((self.carry_at - now) / CARRY)
 
@@ -162,7 +177,7 @@
         self.may_have_run: Optional[Tuple[Node, int]] = None  # the first node where it may have run, and when it was sent
         self.streaming = False
         self.lately = False  # its object was asked for not long ago
-        self.crowd: Dict[str, int] = {}  # dispatches out at its node and source, at its own dispatch
+        self.crowd: Dict[Flow, int] = {}  # dispatches out on its ways, at its own dispatch
         self.over = False  # its client has left
 
 
@@ -175,7 +190,8 @@
         self.caches: List[Node] = []
         self.parents: List[Node] = []
         self.origin: Optional[Node] = None
-        self.inlet = Node(face.NodeRow("", "ready", 0, facts.zone, 0, 0.0, -2))
+        self.inlet = Flow()  # the location's link in, which all fills share
+        self.memory, self.prior = PACE_MEMORY * self.longest, PACE_PRIOR * self.longest
         self.listed = False
         self.reqs: Dict[str, Req] = {}
         self.seen: Dict[Tuple[int, int], int] = {}  # when an object's part was last asked for; the longest unseen first
@@ -317,13 +333,13 @@
         self.give_up(req)
 
     def fill_source(self, req: Req) -> Optional[Node]:
-        """A hash order of the object over all listed parents, the origin when none of them will do."""
+        """A hash order of the object over all listed parents, the origin when none of them will do; none when the link in
+        that all fills share is crowded, since moving on would not help."""
         if not self.in_time(req, self.inlet):
             return None
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
-            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(req, node):
-                if self.in_time(req, node):
-                    return node
+            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(req, node) and self.in_time(req, node):
+                return node
         origin = self.origin
         return origin if origin is not None and self.fit(req, origin) and self.in_time(req, origin) else None
 
@@ -348,14 +364,15 @@
         req.node, req.source, req.sent_at = node, source if source is not node else None, now
         req.dispatches += 1
         inlet = self.inlet if req.source is not None or node.row.zone != facts.zone else None
-        for each in (req.node, req.source, inlet):
-            if each is not None:
-                each.out[req.id] = req
-                req.crowd[each.id] = len(each.out)
-                if self.is_cold(each):
-                    work = self.weight(req, each)
-                    each.sent.append((now, work))
-                    each.sent_sum += work
+        for way in (req.node, req.source, inlet):
+            if way is not None:
+                way.out[req.id] = req
+                req.crowd[way] = len(way.out)
+        for each in (req.node, req.source):
+            if each is not None and self.is_cold(each):
+                work = self.weight(req, each)
+                each.sent.append((now, work))
+                each.sent_sum += work
         self.acts.append(act)
 
     def outcome(self, what: face.Outcome) -> None:
@@ -373,8 +390,8 @@
             if filled:
                 self.succeeded(source, req.work)
             if filled or node.row.zone != self.facts.zone:
-                self.inlet.paced(what.took, req, self.now, PACE_MEMORY * self.longest)
-            (source if filled else node).paced(what.took, req, self.now, PACE_MEMORY * self.longest)
+                self.inlet.paced(what.took, req, self.now, self.memory)
+            (source if filled else node).paced(what.took, req, self.now, self.memory)
         elif result == "miss":
             self.succeeded(node, 0)
             if source is not None:
@@ -435,7 +452,7 @@
             if what.note in (6, 7, 8, 10) or (not what.note and source.bad >= node.bad):
                 culprit = source
         if result == "timeout":
-            culprit.paced(what.took, req, self.now, PACE_MEMORY * self.longest)
+            culprit.paced(what.took, req, self.now, self.memory)
         if result == "timeout" and culprit.answered_at > req.sent_at:
             return culprit  # slow, not silent
         if result != "timeout":
@@ -447,7 +464,7 @@
         if (culprit.bad > BAD + usual or result == "unconnected") and self.now >= culprit.benched_until:
             culprit.bad = max(culprit.bad, BAD)
             culprit.bench = min(BENCH_MOST, max(BENCH, 2 * culprit.bench))
-            culprit.benched_until = self.now + int(culprit.bench * self.longest)
+            culprit.benched_until = self.now + int(culprit.bench * self.longest * (0.75 + self.chance.share() / 2))
         return culprit
 
     def silent(self, node: Node) -> bool:
@@ -461,14 +478,11 @@
             return False
         return self.in_budget(req, node)
 
-    def in_time(self, req: Req, node: Node) -> bool:
+    def in_time(self, req: Req, way: Flow) -> bool:
         """Whether the node's present pace would get the req done within its target; one that is late already only goes
         where there is room. Guards against crowding of any cause: overload, a slow node, a full link, a crowded origin.
         May harm where a node's pace was bad by chance: it is forgotten within PACE_MEMORY."""
-        fade, prior = 2 ** ((node.pace_at - self.now) / (PACE_MEMORY * self.longest)), PACE_PRIOR * self.longest
-        pace = (node.took * fade + prior) / (node.work * fade + prior)
-        if node.crowd:
-            pace = max(1.0, pace * (len(node.out) + 1) * node.work / node.crowd)
+        pace = way.pace(self.now, self.memory, self.prior)
         if self.now + req.work > req.target_at:
             return pace < CROWDED
         return self.now + pace * req.work <= req.target_at
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,102 @@
+"""One small test for each failure that was found."""
+from ironhinge import interface as face
+
+from .helpers import CACHES, deployment, outcome, req, router, row
+
+
+def asked(acts):
+    (act,) = acts
+    assert type(act) in (face.Ask, face.Fetch), act
+    return act
+
+
+def test_crowded_link_leaves_only_look_ups():
+    one = router()
+    acts = [asked(one.step(10 + i, req("b%d" % i, obj=i, size=2000, left=60000))) for i in range(20)]
+    for act in acts[:10]:
+        one.step(25000, outcome(act, "done", took=25000, note=2))
+    for i in range(8):  # half of them are still out, and those that came back took six times their sending time
+        for act in one.step(25001 + i, req("x%d" % i, obj=500 + i, size=2000)):
+            assert type(act) is face.Deny or getattr(act, "source", act.node) == act.node
+
+
+def test_given_up_reqs_are_answered_at_once():
+    one = router(names=())
+    (act,) = one.step(5, req("a"))
+    assert type(act) is face.Deny and act.backoff <= 10000
+
+
+def test_failing_parent_does_not_condemn_caches():
+    one, now = router(deployment(notes="hit")), 0
+    for i in range(60):
+        now += 100
+        act = asked(one.step(now, req("a%d" % i, obj=i)))
+        if getattr(act, "source", "") == "p0":
+            retry = asked(one.step(now + 80, outcome(act, "error", took=80)))
+            one.step(now + 90, outcome(retry, "done", 1, note=2))
+        else:
+            one.step(now + 90, outcome(act, "done", note=1 if i % 2 else 2))
+    assert one.nodes["p0"].bench and not any(one.nodes[name].bench for name in CACHES)
+
+
+def test_resets_everywhere_bench_nobody():
+    one, now = router(), 0
+    for i in range(120):
+        now += 100
+        act = asked(one.step(now, req("a%d" % i, obj=i)))
+        number = 0
+        while i % 3 == 0 and number < 2:
+            act, number = asked(one.step(now + 10, outcome(act, "reset", number))), number + 1
+        one.step(now + 50, outcome(act, "done", number, note=1))
+    assert not any(one.nodes[name].bench for name in CACHES)
+
+
+def test_silent_node_is_passed_over_before_its_time_outs():
+    one = router()
+    first = asked(one.step(10, req("a", obj=3)))
+    for i in range(9):
+        act = asked(one.step(6000 + i, req("n%d" % i, obj=40 + i)))
+        if act.node != first.node:
+            one.step(6000 + i, outcome(act, "done", note=1))
+    assert asked(one.step(12000, req("z", obj=3))).node != first.node
+
+
+def test_full_origin_is_not_asked_again_at_once():
+    one = router(names=(*CACHES, "o"))
+    act = asked(one.step(10, req("a", obj=3)))
+    assert act.source == "o"
+    for act in one.step(300, outcome(act, "full", took=250, note=6)):
+        assert getattr(act, "source", None) != "o" and getattr(act, "node", None) != "o"
+
+
+def test_left_clients_dispatch_weighs_until_its_outcome():
+    one = router()
+    act = asked(one.step(10, req("a")))
+    (off,) = one.step(20, face.Left("a"))
+    assert off == face.CallOff("a", 0) and "a" in one.nodes[act.node].out
+    assert one.step(30, outcome(act, "cancelled", closed=True)) == [] and not one.nodes[act.node].out
+
+
+def test_late_notice_of_an_older_purge_loosens_nothing():
+    one = router()
+    one.step(100000, face.Purged(1, 0, 10))
+    one.step(100010, face.Purged(1, 0, 5000))
+    assert 0 < asked(one.step(100500, req("a"))).age <= 510
+
+
+def test_unknown_purge_of_the_past_holds_on_a_young_clock():
+    one = router()
+    one.step(10, face.Purged(1, 0, 2000))
+    assert 0 < asked(one.step(20, req("a"))).age <= 2010
+
+
+def test_newcomer_without_a_start_time_is_cold():
+    one = router()
+    one.step(1000, face.Listed(False, (row("c9"),)))
+    assert one.is_cold(one.nodes["c9"])
+
+
+def test_denied_clients_come_back_before_their_target():
+    one = router(names=())
+    (act,) = one.step(5, req("a", size=500.0))
+    assert act.backoff <= 4000 + 0.6 * 1000
