--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -76,9 +76,11 @@
 
     def mean_work(self) -> float:
         """On the high side while few reqs were seen."""
+        return max(self.work_sum / self.work_count, self.seen_work())
+
+    def seen_work(self) -> int:
         seen = self.work_count - MEAN_WEIGHT
-        guessed = self.facts.target * MEAN_WEIGHT
-        return max(self.work_sum / self.work_count, (self.work_sum - guessed) / seen if seen else 0)
+        return (self.work_sum - self.facts.target * MEAN_WEIGHT) // seen if seen else 0
 
     def learn(self, work: int) -> None:
         self.work_sum += work
@@ -167,6 +169,7 @@
         self.home = mix(came.obj, 0)
         self.cacheable = vhost.cacheable and not came.write
         self.asked: List[Node] = []  # caches walked that had no copy
+        self.ranks: Dict[Node, int] = {}  # what the tables of the caches walked said
         self.failed: List[Node] = []  # nodes and sources that failed it
         self.dispatches = 0
         self.node: Optional[Node] = None  # of the dispatch that is out
@@ -283,7 +286,7 @@
             work = int(came.size * 10_000 / self.facts.pace) + 1
             vhost.learn(work)
         else:
-            work = int(vhost.mean_work())
+            work = vhost.seen_work()
         req = self.reqs[came.id] = Req(came, vhost, self.now, work)
         if came.repeat:  # its client has waited before, and the first ask counts
             req.target_at -= int(WAITED * vhost.facts.target)
@@ -316,12 +319,11 @@
             for node in fit:
                 if node in req.asked:
                     continue
-                above = node.table.count(req.key, req.size, self.now)
-                rank = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1 if req.lately else 0
-                if rank and source is not None:
-                    return self.dispatch(req, node, source, rank)
-                req.asked.append(node)
-                return self.dispatch(req, node, node, 0)
+                if node not in req.ranks:
+                    above = node.table.count(req.key, req.size, self.now)
+                    req.ranks[node] = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1 if req.lately else 0
+                rank = req.ranks[node]
+                return self.dispatch(req, node, source if rank and source is not None else node, rank)
         if fit and source is not None:
             return self.dispatch(req, fit[0], source, 0)
         if facts.bypass and source is not None and self.allowed(req, source):
@@ -387,6 +389,8 @@
         if result == "done":
             filled = source is not None and what.note in (2, 3, 4)
             self.succeeded(node, req.work)
+            if not req.size:
+                req.vhost.learn(what.took)
             if filled:
                 self.succeeded(source, req.work)
             if filled or node.row.zone != self.facts.zone:
@@ -394,6 +398,7 @@
             (source if filled else node).paced(what.took, req, self.now, self.memory)
         elif result == "miss":
             self.succeeded(node, 0)
+            req.asked.append(node)
             if source is not None:
                 req.failed.append(source)
         elif result not in ("cancelled", "unsent"):
