--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -33,6 +33,7 @@
 PACE_PRIOR = 0.1  # work at full pace that a node is taken to have done besides, as a share of the same
 ADVICE = 0.25  # part of the time to spare before its target that a denied client is asked to stay away
 WAITED = 0.5  # part of the first-byte target that a client's repeat is taken to have used up
+GROWTH = 1.2  # by this much a cache's pace is taken to worsen while it sends: others come onto it meanwhile
 CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
@@ -490,7 +491,8 @@
         pace = way.pace(self.now, self.memory, self.prior)
         if self.now + req.work > req.target_at:
             return pace < CROWDED
-        return self.now + pace * req.work <= req.target_at
+        growth = GROWTH if way in self.caches else 1.0
+        return self.now + growth * pace * req.work <= req.target_at
 
     # Cold nodes
 
