--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -6,9 +6,12 @@
 says whether a copy is kept there and at which rank; refusals move the req on; fills meet at the object's parent.
 
 Mechanisms beside the design:
- 1. bench: nodes that keep failing are passed over for a while and let back in by single trials.
- 2. cold budget: a node that started lately gets no more than its share of what it can do.
- 3. purge limit: copies older than a purge are refused until the purge has settled.
+ 1. bench: nodes that fail more than their peers are passed over for a while and let back in by single trials.
+ 2. silence watch: nodes that owe an answer and show no life are passed over before their time-outs tell.
+ 3. crowding: caches, sources and the link in whose seen pace would miss a req's target are passed over for it.
+ 4. cold budget: a node that started lately gets no more than its share of what it can do.
+ 5. purge limit: copies older than a purge are refused until the purge has settled.
+ 6. past the caches: where the settings allow it and no cache will do, a req goes straight to its source.
 """
 from __future__ import annotations
 
@@ -26,7 +29,7 @@
 TABLE = 4096  # entries of a table, and objects remembered as seen
 FILLS_BOUND = 24  # fills under way at a parent, ours, above which the object's next parent is asked
 LATELY = 0.25  # weight of the newest outcome in a node's share of failures
-BAD, WELL = 0.5, 0.25  # shares of failures above which a node is benched, and below which it is trusted again
+BAD, WELL = 0.7, 0.25  # shares of failures above which a node is benched, and below which it is trusted again
 FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time
 SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
 PACE_MEMORY = 0.25  # half-life of what a node's pace was seen to be, as a share of the longest client timeout
