--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -1,14 +1,16 @@
 """All decisions of ironhinge: where a req goes, from where it is filled, how it is kept, and how it ends.
 
-A front makes one Router an instance and calls `Router.step(now, happening)` for each thing that happened; the actions
-that come back are carried out in order. What happens and what can be done is typed in `interface.py`.
-The design (docs/design.md): a req walks the first K ready caches of its object's hash order; the table of each cache
-says whether a copy is kept there and at which rank; refusals move the req on; fills meet at the object's parent.
+A front makes one Router an instance and calls `Router.step(now, happening)` for each thing that happened;
+the actions that come back are carried out in order. Happenings and actions are typed in `interface.py`.
+The design (docs/design.md): a req walks the first K ready caches of its object's hash order; the table of
+each cache says whether a copy is kept there and at which rank; refusals move the req on; fills meet at the
+object's parent.
 
 Mechanisms beside the design:
- 1. bench: nodes that fail more than their peers are passed over for a while and let back in by single trials.
+ 1. bench: nodes that fail more than their peers are passed over for a while and let back in by single
+    trials.
  2. silence watch: nodes that owe an answer and show no life are passed over before their time-outs tell.
- 3. crowding: caches, sources and the link in whose seen pace would miss a req's target are passed over for it.
+ 3. crowding: caches, sources and the link in whose seen pace would miss a req's target are passed over.
  4. cold budget: a node that started lately gets no more than its share of what it can do.
  5. purge limit: copies older than a purge are refused until the purge has settled.
  6. past the caches: where the settings allow it and no cache will do, a req goes straight to its source.
@@ -92,10 +94,9 @@
 
 
 class Table:
-    """One cache's req rates over size, decaying; `order` keeps them sorted so that a rank is one search.
-
-    A score is the log2 of rate over size on a scale that grows with time, so entries need no touch to decay.
-    """
+    """One cache's req rates over size, decaying; `order` keeps them sorted so that a rank is one search. A
+    score is the log2 of rate over size on a scale that grows with time, so entries need no touch to
+    decay."""
 
     def __init__(self):
         self.scores: Dict[Tuple[int, int], float] = {}  # by object and part; the longest uncounted first
@@ -120,7 +121,7 @@
 
     def __init__(self):
         self.out: Dict[str, Req] = {}  # reqs with a dispatch out that takes this way
-        self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, against that at full pace
+        self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, and full-pace time
         self.crowd = 0.0  # dispatches that were out then, weighted by work
 
     def paced(self, took: float, req: Req, now: int, memory: float) -> None:
@@ -129,8 +130,9 @@
         self.crowd = self.crowd * fade + req.work * (req.crowd[self] + len(self.out) + 1) / 2
 
     def pace(self, now: int, memory: float, prior: float) -> float:
-        """How many times its sending time a req would take now: what was seen, scaled by the dispatches out now against
-        then, since what was seen is as old as the transfers that showed it."""
+        """How many times its sending time a req would take now: what was seen, scaled by the dispatches out
+        now against then, since what was seen is as old as the transfers that showed it. Guards against
+        swinging."""
         fade = 2 ** ((self.pace_at - now) / memory)
         seen = (self.took * fade + prior) / (self.work * fade + prior)
         return max(1.0, seen * (len(self.out) + 1) * self.work / self.crowd) if self.crowd else seen
@@ -181,7 +183,7 @@
         self.sent_at = 0
         facts = vhost.facts
         self.target_at = min(self.left_at, now + facts.target + int(facts.stretch * work))
-        self.may_have_run: Optional[Tuple[Node, int]] = None  # the first node where it may have run, and when it was sent
+        self.may_have_run: Optional[Tuple[Node, int]] = None  # where first, and when it was sent
         self.streaming = False
         self.lately = False  # its object was asked for not long ago
         self.crowd: Dict[Flow, int] = {}  # dispatches out on its ways, at its own dispatch
@@ -201,7 +203,7 @@
         self.memory, self.prior = PACE_MEMORY * self.longest, PACE_PRIOR * self.longest
         self.listed = False
         self.reqs: Dict[str, Req] = {}
-        self.seen: Dict[Tuple[int, int], int] = {}  # when an object's part was last asked for; the longest unseen first
+        self.seen: Dict[Tuple[int, int], int] = {}  # when a part was last asked for; oldest first
         self.usual: Dict[int, float] = {}  # by kind: what a warm node carries for us, in work a unit of time
         self.purged_objects: Dict[int, int] = {}  # the newest purge known
         self.purged_groups: Dict[int, int] = {}
@@ -261,8 +263,10 @@
     # Purges
 
     def purge(self, what: face.Purged) -> None:
-        """Guards 'purges kept'. A late notice of an older purge must not loosen a newer one, hence the max."""
-        book, name = ((self.purged_groups, what.group) if what.obj is None else (self.purged_objects, what.obj))
+        """Guards 'purges kept'. A late notice of an older purge must not loosen a newer one: hence the
+        max."""
+        whole = what.obj is None
+        book, name = (self.purged_groups, what.group) if whole else (self.purged_objects, what.obj)
         at = self.now - what.age + 1
         book[name] = max(book.pop(name, at), at)
         while book:
@@ -273,8 +277,8 @@
 
     def age_limit(self, req: Req) -> int:
         """The oldest copy that will do; 0 for what the vhost allows by itself."""
-        purges = [book[name] for book, name in ((self.purged_objects, req.key[0]), (self.purged_groups, req.group))
-                  if name in book]
+        books = ((self.purged_objects, req.key[0]), (self.purged_groups, req.group))
+        purges = [book[name] for book, name in books if name in book]
         at = max(purges, default=0)
         if not purges or self.now > at + self.facts.purge_settles:
             return 0
@@ -302,7 +306,8 @@
         self.go_on(req)
 
     def client_left(self, name: str) -> None:
-        """Nothing more is owed, but the dispatch that is out still weighs on its nodes until its outcome comes."""
+        """Nothing more is owed, but the dispatch that is out weighs on its nodes until its outcome
+        comes."""
         req = self.reqs.get(name)
         if req is None or req.over:
             return
@@ -311,13 +316,14 @@
             self.acts.append(face.CallOff(req.id, req.dispatches - 1))
 
     def go_on(self, req: Req) -> None:
-        """The walk: the next cache of the object's order, else the first one as a pass-through, else past the caches."""
+        """The walk: the next cache of the order, else the first one as a pass-through, else past the
+        caches."""
         facts = self.facts
         if req.dispatches >= facts.max_dispatches or self.now + max(req.work, 2 * facts.tick) >= req.left_at:
             return self.give_up(req)
         order = sorted(self.caches, key=lambda node: mix(req.salt, node.salt), reverse=True)
         able = [node for node in order if self.allowed(req, node)]
-        fit = [node for node in able if node not in req.failed and self.fit(req, node) and self.in_time(req, node)]
+        fit = [node for node in able if node not in req.failed and self.fit(req, node)]
         source = self.fill_source(req)
         if req.cacheable and len(req.asked) < K:
             for node in fit:
@@ -325,7 +331,8 @@
                     continue
                 if node not in req.ranks:
                     above = node.table.count(req.key, req.size, self.now)
-                    req.ranks[node] = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1 if req.lately else 0
+                    lowest = 1 if req.lately else 0
+                    req.ranks[node] = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else lowest
                 rank = req.ranks[node]
                 return self.dispatch(req, node, source if rank and source is not None else node, rank)
         if fit and source is not None:
@@ -335,19 +342,20 @@
         rest = [node for node in able if self.now >= node.full_until and self.in_budget(req, node)
                 and self.in_time(req, node)]
         if rest and source is not None:
-            return self.dispatch(req, min(rest, key=lambda node: (req.failed.count(node), node.benched_until)), source, 0)
+            best = min(rest, key=lambda node: (req.failed.count(node), node.benched_until))
+            return self.dispatch(req, best, source, 0)
         self.give_up(req)
 
     def fill_source(self, req: Req) -> Optional[Node]:
-        """A hash order of the object over all listed parents, the origin when none of them will do; none when the link in
-        that all fills share is crowded, since moving on would not help."""
+        """A hash order of the object over all listed parents, the origin when none of them will do; none
+        when the link in that all fills share is crowded, since moving on would not help."""
         if not self.in_time(req, self.inlet):
             return None
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
-            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(req, node) and self.in_time(req, node):
+            if node not in req.failed and len(node.out) < FILLS_BOUND and self.fit(req, node):
                 return node
         origin = self.origin
-        return origin if origin is not None and self.fit(req, origin) and self.in_time(req, origin) else None
+        return origin if origin is not None and self.fit(req, origin) else None
 
     def dispatch(self, req: Req, node: Node, source: Node, rank: int) -> None:
         facts, now = self.facts, self.now
@@ -364,9 +372,8 @@
         else:
             if source is node and node in self.parents and self.origin is not None:
                 source = self.origin
-            fresh = req.vhost.facts.fresh
-            act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, bool(fresh) and source is not node,
-                             False)
+            renew = bool(req.vhost.facts.fresh) and source is not node
+            act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, renew, False)
         req.node, req.source, req.sent_at = node, source if source is not node else None, now
         req.dispatches += 1
         inlet = self.inlet if req.source is not None or node.row.zone != facts.zone else None
@@ -425,13 +432,14 @@
                 or facts.scope == "cell" and node.row.cell == first.row.cell)
 
     def give_up(self, req: Req) -> None:
-        """The final answer of a req that was not done: a denial where trying again is harmless, else an abort."""
+        """The final answer of a req not done: a denial where trying again is harmless, else an abort."""
         del self.reqs[req.id]
         vhost = req.vhost.facts
         harmless = vhost.effect == "replayable" or req.may_have_run is None or (
-            vhost.effect == "uniqued" and vhost.scope == "all" and self.now < req.may_have_run[1] + vhost.window)
+            vhost.effect == "uniqued" and vhost.scope == "all"
+            and self.now < req.may_have_run[1] + vhost.window)
         slack = max(0, req.target_at - self.now - req.work)
-        advice = min(self.facts.backoff, int(ADVICE * slack))  # to come back while the target can still be met
+        advice = min(self.facts.backoff, int(ADVICE * slack))  # back while the target can still be met
         self.acts.append(face.Deny(req.id, advice) if harmless else face.Abort(req.id))
 
     # Health
@@ -446,8 +454,10 @@
                 node.bench = 0.0
 
     def blame(self, req: Req, node: Node, source: Optional[Node], what: face.Outcome) -> Node:
-        """Finds who failed a dispatch, the cache or its source: by the note if it tells, else whoever fails more lately.
-        Guards against a bad parent condemning good caches, and against nodes that are dead, silent or failing."""
+        """Finds who failed a dispatch, the cache or its source: by the note if it tells, else whoever fails
+        more. Guards against nodes that are dead, silent or failing, without a bad parent condemning good
+        caches. What fails everywhere benches nobody; that may harm where most nodes of a location die at
+        once."""
         result, culprit = what.result, node
         quick = what.took <= 2 * self.facts.tick  # too soon for word from any source
         if result == "full":  # turned away at the door of one or the other: alive, but crowded
@@ -468,29 +478,33 @@
             node.answered_at = self.now
         for each in suspects:
             each.bad += LATELY * (1 - each.bad)
-        peers = [each.bad for each in (self.parents if culprit in self.parents else self.caches) if each is not culprit]
+        alike = self.parents if culprit in self.parents else self.caches
+        peers = [each.bad for each in alike if each is not culprit]
         usual = sum(peers) / len(peers) if peers else 0.0  # what fails everywhere is no node's own fault
         if (culprit.bad > BAD + usual or result == "unconnected") and self.now >= culprit.benched_until:
             culprit.bad = max(culprit.bad, BAD)
             culprit.bench = min(BENCH_MOST, max(BENCH, 2 * culprit.bench))
-            culprit.benched_until = self.now + int(culprit.bench * self.longest * (0.75 + self.chance.share() / 2))
+            length = culprit.bench * (0.75 + self.chance.share() / 2)  # routers' trials fall apart in time
+            culprit.benched_until = self.now + int(length * self.longest)
         return culprit
 
     def silent(self, node: Node) -> bool:
-        """True when a dispatch is overdue and the node has shown no life since it was sent. Guards against nodes that take
-        reqs and never answer, before the time-outs tell."""
-        return any(node.answered_at <= req.sent_at and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
+        """True when a dispatch is overdue and the node has shown no life since. Guards against nodes that
+        take reqs and never answer, before the time-outs tell; may harm where a node's only req is merely
+        slow."""
+        return any(node.answered_at <= req.sent_at
+                   and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
                    for req in node.out.values())
 
     def fit(self, req: Req, node: Node) -> bool:
-        if self.now < max(node.benched_until, node.full_until) or node.bench and node.out or self.silent(node):
+        if self.now < max(node.benched_until, node.full_until) or node.bench and node.out:
             return False
-        return self.in_budget(req, node)
+        return not self.silent(node) and self.in_budget(req, node) and self.in_time(req, node)
 
     def in_time(self, req: Req, way: Flow) -> bool:
-        """Whether the node's present pace would get the req done within its target; one that is late already only goes
-        where there is room. Guards against crowding of any cause: overload, a slow node, a full link, a crowded origin.
-        May harm where a node's pace was bad by chance: it is forgotten within PACE_MEMORY."""
+        """Whether the present pace would get the req done within its target; one that is late already only
+        goes where there is room. Guards against crowding of any cause: overload, a slow node, a full link
+        or origin. May harm where a node's pace was bad by chance: it is forgotten within PACE_MEMORY."""
         pace = way.pace(self.now, self.memory, self.prior)
         if self.now + req.work > req.target_at:
             return pace < CROWDED
@@ -504,28 +518,30 @@
         return bool(node.row.started) and self.now < node.row.started + length
 
     def weight(self, req: Req, node: Node) -> float:
-        """What a dispatch weighs in a budget: at a cache its vhost's mean sending time, at a parent its own if longer."""
+        """In a budget: at a cache its vhost's mean sending time, at a parent its own if that is longer."""
         mean = req.vhost.mean_work()
-        return mean if node.row.zone == self.facts.zone else max(req.work, mean)
+        return max(req.work, mean) if node.row.kind == self.facts.parent_kind else mean
 
     def in_budget(self, req: Req, node: Node) -> bool:
-        """Guards 'no cold node pushed over'. Our share of a budget is taken from what we ourselves have warm nodes of
-        its kind carry: summed over all routers that stays under what such a node can do."""
+        """Guards 'no cold node pushed over'. Our share of a budget is taken from what we ourselves have
+        warm nodes of its kind carry: summed over all routers that stays under what such a node can do."""
         if node is self.origin or not self.is_cold(node):
             return True
         facts = self.facts
         parent = node.row.kind == facts.parent_kind
         while node.sent and node.sent[0][0] < self.now - facts.fall:
             node.sent_sum -= node.sent.popleft()[1]
-        least, length, multiple = ((facts.parent_cold_from, facts.parent_cold, facts.parent_fall_multiple) if parent
-                                   else (facts.cold_from, facts.cold, facts.fall_multiple))
+        least, length, multiple = facts.cold_from, facts.cold, facts.fall_multiple
+        if parent:
+            least, length, multiple = facts.parent_cold_from, facts.parent_cold, facts.parent_fall_multiple
         age = max(0, self.now - facts.fall - node.row.started)
         share = least + (1 - least) * age / max(1, length)
         if facts.weights in ("nominal", "rough"):
             capacity = node.row.weight / (facts.routers if parent else facts.routers_here)
         else:
             capacity = self.carried_by_kind(node.row.kind)
-        return node.sent_sum + self.weight(req, node) <= COLD_MARGIN * multiple * share * capacity * facts.fall
+        budget = multiple * share * capacity * facts.fall
+        return node.sent_sum + self.weight(req, node) <= COLD_MARGIN * budget
 
     def carried_by_kind(self, kind: int) -> float:
         warm = [node for node in (self.parents if kind == self.facts.parent_kind else self.caches)
--- a/ironhinge/interface.py
+++ b/ironhinge/interface.py
@@ -1,17 +1,19 @@
 """What a front tells the decision module, and what the module tells it to do: types only.
 
 Times are whole tenths of a millisecond on the front's clock; sizes are KB; ids are opaque text.
-A front makes one `brain.Router` for each instance from `Deployment` facts and a seed, calls `router.step(now, happening)`
-for each thing that happened, in order, and carries out the actions that come back, in order.
+A front makes one `brain.Router` for each instance from `Deployment` facts and a seed, calls
+`router.step(now, happening)` for each thing that happened, in order, and carries out the actions that come
+back, in order.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
 from typing import NamedTuple, Optional, Tuple, Union
 
-
 # Facts of a deployment
 
+
 class Vhost(NamedTuple):
     target: int  # first-byte target
     stretch: float  # the target grows by this many times the req's own sending time
@@ -68,6 +70,7 @@
 
 # What happened
 
+
 class NodeRow(NamedTuple):
     id: str
     state: str  # 'ready', 'draining' or 'gone'
@@ -121,6 +124,7 @@
 
 class Left(NamedTuple):
     """The client has gone; nothing more is owed."""
+
     id: str
 
 
@@ -146,20 +150,26 @@
     data: bytes
 
 
-Happening = Union[Started, Listed, ListFailed, ReqCame, Streaming, Outcome, Left, Purged, Rang, Probed, PeerSaid]
+Happening = Union[
+    Started, Listed, ListFailed, ReqCame, Streaming, Outcome, Left, Purged, Rang, Probed, PeerSaid
+]
 
 
 # What is to be done
 
+
 class Ask(NamedTuple):
     """Dispatch for what the node holds fresh."""
+
     id: str
     node: str
     until: int
 
 
 class Fetch(NamedTuple):
-    """Dispatch that says where a miss is filled from, the rank to keep it at and the oldest copy that will do."""
+    """Dispatch that says where a miss is filled from, the rank to keep it at and the oldest copy that will
+    do."""
+
     id: str
     node: str
     until: int
--- a/ironhinge/wirehost/__main__.py
+++ b/ironhinge/wirehost/__main__.py
@@ -1,4 +1,5 @@
 """`python -m ironhinge.wirehost`: the wire on standard input and output."""
+
 import sys
 
 from .host import serve
--- a/ironhinge/wirehost/host.py
+++ b/ironhinge/wirehost/host.py
@@ -1,4 +1,5 @@
 """Reads batches, hands each event to its instance and writes one reply a batch."""
+
 from __future__ import annotations
 
 import json
@@ -33,7 +34,7 @@
     def event(self, now: int, event: Any) -> List[Dict[str, Any]]:
         if not isinstance(event, dict) or len(event) != 1:
             raise Malformed("batch: an entry of field 'input' is not an object with one key")
-        (name, values), = event.items()
+        ((name, values),) = event.items()
         fields = Fields(name, values)
         if name == "MANIFEST":
             self.lists[fields.whole("list")] = codec.node_rows(fields)
@@ -43,7 +44,9 @@
             return codec.messages(director, self.hand_over(now, director, fields))
         except Malformed as fault:
             return [self.fatal(director, str(fault))]
-        except Exception as fault:  # the instance is at fault: say so on the wire, and where on standard error
+        except (
+            Exception
+        ) as fault:  # the instance is at fault: say so on the wire, and where on standard error
             text = f"{name}: the decision code failed: {type(fault).__name__}: {fault}"
             reply = self.fatal(director, text)
             self.errors.write(traceback.format_exc())
@@ -52,7 +55,9 @@
     def hand_over(self, now: int, director: int, fields: Fields) -> List[face.Action]:
         name = fields.message
         if name == "SPAWN":
-            router = self.routers[director] = Router(codec.deployment(fields.inner("settings")), fields.whole("seed"))
+            router = self.routers[director] = Router(
+                codec.deployment(fields.inner("settings")), fields.whole("seed")
+            )
             return router.step(now, face.Started())
         if name == "STOP":
             self.routers.pop(director, None)
@@ -63,7 +68,10 @@
             return []
         if director not in self.routers:
             raise Malformed(f"{name}: field 'director' names instance {director}, which has not started")
-        return self.routers[director].step(now, happened)
+        router = self.routers[director]
+        if type(happened) is face.ReqCame and happened.vhost >= len(router.facts.vhosts):
+            raise Malformed(f"{name}: field 'cls' names class {happened.vhost}, which the settings lack")
+        return router.step(now, happened)
 
     def fatal(self, director: int, text: str) -> Dict[str, Any]:
         self.errors.write(f"ironhinge: {text}\n")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """A small deployment, random happenings for it, and the slow plain model of the rules."""
+
 from random import Random
 
 from ironhinge import interface as face
@@ -10,14 +11,48 @@
 
 
 def deployment(**other):
-    vhosts = tuple(face.Vhost(4000, 1.6, 30000, 1.0, 0.2, effect, scope, 9000, False, 20000 if i % 2 else 0, 0, 1.0, True)
-                   for i, (effect, scope) in enumerate(EFFECTS))
-    facts = dict(vhosts=vhosts, zone=0, routers=2, routers_here=2, hub_of=(1, 1), inlet=(), parent_kind=PARENT,
-                 origin_kind=ORIGIN, bypass=True, siblings="location", joins=True, notes="all", pace=5000.0, weights="rough",
-                 load_fields=("in_hand",), must_watch=False, ask_within=0, max_dispatches=6, probes=False, peers=False,
-                 cancels=True, backoff=10000, cold_from=0.2, cold=150000, fall_multiple=2.0, fall=20000, parent_cold_from=0.1,
-                 parent_cold=200000, parent_fall_multiple=2.0, drain_grace=5000, purge_grace=3000, purge_settles=60000,
-                 tick=20, prices=())
+    vhosts = tuple(
+        face.Vhost(
+            4000, 1.6, 30000, 1.0, 0.2, effect, scope, 9000, False, 20000 if i % 2 else 0, 0, 1.0, True
+        )
+        for i, (effect, scope) in enumerate(EFFECTS)
+    )
+    facts = dict(
+        vhosts=vhosts,
+        zone=0,
+        routers=2,
+        routers_here=2,
+        hub_of=(1, 1),
+        inlet=(),
+        parent_kind=PARENT,
+        origin_kind=ORIGIN,
+        bypass=True,
+        siblings="location",
+        joins=True,
+        notes="all",
+        pace=5000.0,
+        weights="rough",
+        load_fields=("in_hand",),
+        must_watch=False,
+        ask_within=0,
+        max_dispatches=6,
+        probes=False,
+        peers=False,
+        cancels=True,
+        backoff=10000,
+        cold_from=0.2,
+        cold=150000,
+        fall_multiple=2.0,
+        fall=20000,
+        parent_cold_from=0.1,
+        parent_cold=200000,
+        parent_fall_multiple=2.0,
+        drain_grace=5000,
+        purge_grace=3000,
+        purge_settles=60000,
+        tick=20,
+        prices=(),
+    )
     return face.Deployment(**{**facts, **other})
 
 
@@ -38,7 +73,9 @@
 
 
 def outcome(act, result, number=0, took=100, closed=None, note=0):
-    return face.Outcome(act.id, number, act.node, result, took, result == "done" if closed is None else closed, note, 0, None)
+    return face.Outcome(
+        act.id, number, act.node, result, took, result == "done" if closed is None else closed, note, 0, None
+    )
 
 
 class Rules:
@@ -80,7 +117,9 @@
             self.ended[act.id] = "answered"
 
     def ran(self, name):
-        return [one for one in self.sent[name] if one[2] in ("done", "error", "timeout", "reset", "cancelled")]
+        return [
+            one for one in self.sent[name] if one[2] in ("done", "error", "timeout", "reset", "cancelled")
+        ]
 
     def harmless(self, name, now):
         vhost, ran = self.facts.vhosts[self.came[name][1].vhost], self.ran(name)
@@ -96,16 +135,23 @@
         ran = self.ran(act.id)
         if ran and vhost.effect != "replayable":
             assert vhost.effect == "uniqued" and now < ran[0][1] + vhost.window, "an effect twice"
-            assert vhost.scope == "all" or self.rows[act.node].cell == self.rows[ran[0][0]].cell, "outside its group"
+            assert (
+                vhost.scope == "all" or self.rows[act.node].cell == self.rows[ran[0][0]].cell
+            ), "outside its group"
         source = getattr(act, "source", act.node)
         for name in {act.node, source}:
             assert self.rows[name].state == "ready", "sent to a node that drains or is gone"
             self.load(now, name, came, act.node)
-        purges = [when for when, what in self.purges
-                  if (what.obj == came.obj if what.obj is not None else what.group == came.group)
-                  and when + self.facts.purge_settles >= now]
+        purges = [
+            when
+            for when, what in self.purges
+            if (what.obj == came.obj if what.obj is not None else what.group == came.group)
+            and when + self.facts.purge_settles >= now
+        ]
         if purges and act.node != "o":
-            assert type(act) is face.Fetch and 0 < act.age <= max(1, now - max(purges)), "an old copy would do"
+            assert type(act) is face.Fetch and 0 < act.age <= max(
+                1, now - max(purges)
+            ), "an old copy would do"
         if type(act) is face.Fetch and vhost.fresh:
             assert act.age <= vhost.fresh + vhost.grace
         before.append([act.node, now, None])
@@ -119,12 +165,16 @@
         work = came.size * 10_000 / self.facts.pace if parent else sum(works) / len(works)
         loads = self.loads.setdefault((name, one.started), [])
         loads.append((now, work))
-        least, multiple = ((facts.parent_cold_from, facts.parent_fall_multiple) if parent
-                           else (facts.cold_from, facts.fall_multiple))
+        least, multiple = (
+            (facts.parent_cold_from, facts.parent_fall_multiple)
+            if parent
+            else (facts.cold_from, facts.fall_multiple)
+        )
         share = least + (1 - least) * max(0, now - one.started) / length
         routers = facts.routers if parent else facts.routers_here
         assert sum(work for when, work in loads if when > now - facts.fall) <= (
-            multiple * share * one.weight * facts.fall / routers), "a cold node pushed over"
+            multiple * share * one.weight * facts.fall / routers
+        ), "a cold node pushed over"
 
 
 def play(seed, facts, steps=400):
@@ -138,7 +188,15 @@
             rules.acted(now, act)
             if type(act) in (face.Ask, face.Fetch):
                 due = min(act.until, now + int(chance.expovariate(1 / 3000)) + 1)
-                out.append((due, len(rules.came) * 10 + len(rules.sent[act.id]), act, len(rules.sent[act.id]) - 1, act.until))
+                out.append(
+                    (
+                        due,
+                        len(rules.came) * 10 + len(rules.sent[act.id]),
+                        act,
+                        len(rules.sent[act.id]) - 1,
+                        act.until,
+                    )
+                )
 
     tell(face.Started())
     tell(face.Listed(True, tuple(row(name) for name in names)))
@@ -150,21 +208,37 @@
             now, act, place, until = max(now, due[0]), due[2], due[3], due[4]
             result = chance.choice(["done"] * 9 + ["miss", "full", "error", "reset", "unconnected"])
             result = "cancelled" if act.id in rules.ended else "timeout" if due[0] == until else result
-            tell(outcome(act, result, place, 200, result == "done" or act.id in rules.ended, chance.randrange(11)))
+            tell(
+                outcome(
+                    act, result, place, 200, result == "done" or act.id in rules.ended, chance.randrange(11)
+                )
+            )
         now = then
         if number >= steps:
             continue
         dice = chance.random()
         if dice < 0.7:
             number += 1
-            tell(req("r%d" % number, chance.randrange(40), chance.randrange(4), chance.choice([50.0, 500.0, 4000.0]),
-                     chance.choice([500, 9000, 25000]), chance.randrange(3)))
+            tell(
+                req(
+                    "r%d" % number,
+                    chance.randrange(40),
+                    chance.randrange(4),
+                    chance.choice([50.0, 500.0, 4000.0]),
+                    chance.choice([500, 9000, 25000]),
+                    chance.randrange(3),
+                )
+            )
         elif dice < 0.78:
             held = [name for name in rules.came if name not in rules.ended]
             if held:
                 tell(face.Left(chance.choice(held)))
         elif dice < 0.86:
-            tell(face.Purged(chance.choice([None, chance.randrange(40)]), chance.randrange(3), chance.randrange(3000)))
+            tell(
+                face.Purged(
+                    chance.choice([None, chance.randrange(40)]), chance.randrange(3), chance.randrange(3000)
+                )
+            )
         else:
             name = chance.choice(names)
             state = chance.choice(["ready", "ready", "draining", "gone"])
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,5 @@
 """One small test for each failure that was found."""
+
 from ironhinge import interface as face
 
 from .helpers import CACHES, deployment, outcome, req, router, row
@@ -15,7 +16,9 @@
     acts = [asked(one.step(10 + i, req("b%d" % i, obj=i, size=2000, left=60000))) for i in range(20)]
     for act in acts[:10]:
         one.step(25000, outcome(act, "done", took=25000, note=2))
-    for i in range(8):  # half of them are still out, and those that came back took six times their sending time
+    for i in range(
+        8
+    ):  # half of them are still out, and those that came back took six times their sending time
         for act in one.step(25001 + i, req("x%d" % i, obj=500 + i, size=2000)):
             assert type(act) is face.Deny or getattr(act, "source", act.node) == act.node
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,7 +1,10 @@
 """The adapter on odd and malformed input."""
+
 import io
 import json
 
+import pytest
+
 from ironhinge.wirehost.host import serve
 
 
@@ -23,6 +26,69 @@
 
 def test_fault_of_an_instance_is_fatal_and_named():
     code, replies, errors = talk({"wall": 1, "seq": 1, "input": [{"QUERY": {"director": 3, "tid": "a"}}]})
-    (fatal,), = [r["outbox"] for r in replies]
+    ((fatal,),) = [r["outbox"] for r in replies]
     assert code == 0 and fatal["FATAL"]["director"] == 3
     assert "QUERY" in errors and "'budget'" in errors and "Traceback" not in errors
+
+
+SETTINGS = {
+    "classes": [{"aim": 300000, "deadline": 2500000, "semantics": "repeatable"}],
+    "extra": {"store-kind": 1},
+    "policy-limits": {"max-attempts": 4},
+    "a-key-of-tomorrow": [1, 2],
+}
+
+
+def started(*events):
+    rows = [{"node": name, "state": "active", "family-type": kind} for name, kind in (("a:1", 0), ("o:1", 1))]
+    return {
+        "wall": 1000050,
+        "seq": 1,
+        "input": [
+            {"SPAWN": {"director": 0, "seed": 5, "settings": SETTINGS}},
+            {"MANIFEST": {"list": 0, "rows": rows}},
+            {"MEMBERSHIP": {"director": 0, "scope": "restored", "serial": 1, "list": 0}},
+            *events,
+        ],
+    }
+
+
+def ask(tid):
+    return {"QUERY": {"director": 0, "tid": tid, "budget": 2000000, "a-field-of-tomorrow": True}}
+
+
+def test_unknown_and_absent_fields_are_no_fault():
+    code, (reply,), errors = talk(started(ask("q"), {"COMET": {"director": 0}}))
+    ((name, body),) = reply["outbox"][0].items()
+    assert code == 0 and name == "ANSWER_FROM" and body["node"] == "a:1" and body["supplier"] == "o:1"
+    assert 1000050 < body["try-until"] <= 3000000 and "COMET" in errors
+
+
+def test_list_numbers_are_resolved_in_the_order_of_events():
+    rows = [{"node": "b:1", "state": "active"}, {"node": "o:1", "state": "active", "family-type": 1}]
+    again = [
+        {"MANIFEST": {"list": 0, "rows": rows}},
+        {"MEMBERSHIP": {"director": 0, "scope": "replace", "list": 0}},
+    ]
+    _, (reply,), _ = talk(started(ask("q"), *again, ask("r")))
+    assert [act["ANSWER_FROM"]["node"] for act in reply["outbox"]] == ["a:1", "b:1"]
+
+
+@pytest.mark.parametrize(
+    "event, field",
+    [
+        ({"QUERY": {"director": 0, "tid": 7, "budget": 5}}, "tid"),
+        ({"QUERY": {"director": 0, "tid": "q", "budget": True}}, "budget"),
+        ({"QUERY": {"director": 0, "tid": "q", "budget": 5, "cls": 1}}, "cls"),
+        ({"QUERY": {"director": 9, "tid": "q", "budget": 5}}, "director"),
+        ({"REPORT_BACK": {"director": 0, "tid": "q", "node": "a:1", "reason": "Z"}}, "reason"),
+        ({"REPORT_BACK": {"director": 0, "tid": "q", "node": "a:1", "reason": "S", "stats": ["x"]}}, "stats"),
+        ({"MEMBERSHIP": {"director": 0, "scope": "update", "list": 7}}, "list"),
+        ({"FROM_PEER": {"director": 0, "who": 1, "bytes": "?"}}, "bytes"),
+        ({"INVALIDATED": {"director": 0, "age": -1}}, "age"),
+    ],
+)
+def test_malformed_fields_are_named(event, field):
+    _, (reply,), errors = talk(started(event))
+    assert "FATAL" in reply["outbox"][-1] and next(iter(event)) in errors and f"'{field}'" in errors
+    assert "Traceback" not in errors
