Tests for the last findings; comments say when two guards may harm

The module decides as before: comments alone changed. A half-failing parent stays in use, a repeat has part of its target left, a crowded cache keeps room for those that follow.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -264,7 +264,7 @@
 
     def purge(self, what: face.Purged) -> None:
         """Guards 'purges kept'. A late notice of an older purge must not loosen a newer one: hence the
-        max."""
+        max. Harms only by fills: good copies older than the limit are fetched anew."""
         whole = what.obj is None
         book, name = (self.purged_groups, what.group) if whole else (self.purged_objects, what.obj)
         at = self.now - what.age + 1
@@ -524,7 +524,8 @@
 
     def in_budget(self, req: Req, node: Node) -> bool:
         """Guards 'no cold node pushed over'. Our share of a budget is taken from what we ourselves have
-        warm nodes of its kind carry: summed over all routers that stays under what such a node can do."""
+        warm nodes of its kind carry: summed over all routers that stays under what such a node can do. Harms
+        where most nodes are cold at once, as part of their room goes unused."""
         if node is self.origin or not self.is_cold(node):
             return True
         facts = self.facts
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -103,3 +103,30 @@
     one = router(names=())
     (act,) = one.step(5, req("a", size=500.0))
     assert act.backoff <= 4000 + 0.6 * 1000
+
+
+def test_half_failing_parent_is_kept():
+    one, now = router(deployment(notes="hit")), 0
+    for i in range(60):
+        now += 100
+        act, number = asked(one.step(now, req("a%d" % i, obj=i))), 0
+        if act.source == "p0" and i % 2:
+            act, number = asked(one.step(now + 80, outcome(act, "error", took=80))), 1
+        one.step(now + 90, outcome(act, "done", number, note=2))
+    assert not one.nodes["p0"].bench
+
+
+def test_repeat_has_part_of_its_target_left():
+    one = router()
+    one.step(10, req("a"))
+    one.step(10, req("b")._replace(repeat=True))
+    assert one.reqs["b"].target_at < one.reqs["a"].target_at
+
+
+def test_crowded_cache_keeps_room_for_those_that_follow():
+    one = router()
+    one.step(10, req("s", size=1300.0))
+    for way in (one.nodes["c0"], one.inlet):  # both seen to take three times the sending time
+        way.took, way.work, way.crowd, way.pace_at = 24000.0, 8000.0, 8000.0, 10
+        way.out.clear()
+    assert one.in_time(one.reqs["s"], one.inlet) and not one.in_time(one.reqs["s"], one.nodes["c0"])
