--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -464,6 +464,9 @@
             culprit = node if quick or source is None or what.note == 9 else source
             culprit.full_until = self.now + int(FULL * req.vhost.mean_work())
             node.answered_at = self.now
+            if culprit is source and what.took > req.vhost.facts.target:  # waited for in vain
+                source.bad += LATELY * (1 - source.bad)
+                self.bench(source)
             return culprit
         suspects = [node]
         if source is not None and not quick and result != "unconnected":
@@ -478,15 +481,18 @@
             node.answered_at = self.now
         for each in suspects:
             each.bad += LATELY * (1 - each.bad)
+        self.bench(culprit, result == "unconnected")
+        return culprit
+
+    def bench(self, culprit: Node, surely: bool = False) -> None:
         alike = self.parents if culprit in self.parents else self.caches
         peers = [each.bad for each in alike if each is not culprit]
         usual = sum(peers) / len(peers) if peers else 0.0  # what fails everywhere is no node's own fault
-        if (culprit.bad > BAD + usual or result == "unconnected") and self.now >= culprit.benched_until:
+        if (culprit.bad > BAD + usual or surely) and self.now >= culprit.benched_until:
             culprit.bad = max(culprit.bad, BAD)
             culprit.bench = min(BENCH_MOST, max(BENCH, 2 * culprit.bench))
             length = culprit.bench * (0.75 + self.chance.share() / 2)  # routers' trials fall apart in time
             culprit.benched_until = self.now + int(length * self.longest)
-        return culprit
 
     def silent(self, node: Node) -> bool:
         """True when a dispatch is overdue and the node has shown no life since. Guards against nodes that
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -130,3 +130,14 @@
         way.took, way.work, way.crowd, way.pace_at = 24000.0, 8000.0, 8000.0, 10
         way.out.clear()
     assert one.in_time(one.reqs["s"], one.inlet) and not one.in_time(one.reqs["s"], one.nodes["c0"])
+
+
+def test_source_waited_for_in_vain_is_benched():
+    one, now = router(deployment(notes="hit")), 0
+    for i in range(40):
+        now += 6000
+        act, number = asked(one.step(now, req("a%d" % i, obj=i))), 0
+        if act.source == "p0":
+            act, number = asked(one.step(now + 5000, outcome(act, "full", took=5000))), 1
+        one.step(now + 5500, outcome(act, "done", number, note=2))
+    assert one.nodes["p0"].bench and not any(one.nodes[name].bench for name in CACHES)
