Nodes found silent or unconnected count as just started; the cold budget as a staggered debt

Now a node seen silent or without connections is cold until the list tells more, each req overdraws a budget that refills, and the first one waits a chance part. What a warm node can do: carried over busy, where told. May harm where a node is merely slow and its director has nothing else there.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -18,10 +18,9 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right, insort
-from collections import deque
 from hashlib import blake2b
 from math import log2
-from typing import Deque, Dict, List, Optional, Tuple
+from typing import Dict, List, Optional, Tuple
 
 from . import interface as face
 
@@ -155,9 +154,11 @@
         self.took = self.work = self.crowd = 0.0
         self.benched_until = 0
         self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
+        self.busy = 1.0  # share of what it can do that it says is in use, averaged
         self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
-        self.sent: Deque[Tuple[int, float]] = deque()  # while cold: what was sent when
-        self.sent_sum = 0.0
+        self.lost_at = 0  # when it last took no connection or was found silent
+        self.room: Optional[float] = None  # while cold: work that it may still be sent, below 0 when overdrawn
+        self.room_at = 0
 
     def carried(self, work: float, now: int) -> None:
         self.carry = self.carry_now(now) + work / CARRY
@@ -382,10 +383,8 @@
                 way.out[req.id] = req
                 req.crowd[way] = len(way.out)
         for each in (req.node, req.source):
-            if each is not None and self.is_cold(each):
-                work = self.weight(req, each)
-                each.sent.append((now, work))
-                each.sent_sum += work
+            if each is not None and each.room is not None:
+                each.room -= self.weight(req, each)
         self.acts.append(act)
 
     def outcome(self, what: face.Outcome) -> None:
@@ -393,6 +392,9 @@
         if req is None or req.node is None or req.node.id != what.node or what.number != req.dispatches - 1:
             return
         node, source, result = req.node, req.source, what.result
+        if what.load and "busy" in self.facts.load_fields:
+            told = min(1.0, what.load[self.facts.load_fields.index("busy")])
+            node.busy += LATELY * (told - node.busy)
         req.node = req.source = None
         for each in (node, source, self.inlet):
             if each is not None:
@@ -479,6 +481,8 @@
             return culprit  # slow, not silent
         if result != "timeout":
             node.answered_at = self.now
+        if result == "unconnected":
+            culprit.lost_at = self.now
         for each in suspects:
             each.bad += LATELY * (1 - each.bad)
         self.bench(culprit, result == "unconnected")
@@ -497,10 +501,13 @@
     def silent(self, node: Node) -> bool:
         """True when a dispatch is overdue and the node has shown no life since. Guards against nodes that
         take reqs and never answer, before the time-outs tell; may harm where a node's only req is merely
-        slow."""
-        return any(node.answered_at <= req.sent_at
-                   and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
-                   for req in node.out.values())
+        slow. A node found silent counts as just started: it may come back cold before the list says so."""
+        if any(node.answered_at <= req.sent_at
+               and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
+               for req in node.out.values()):
+            node.lost_at = self.now
+            return True
+        return False
 
     def fit(self, req: Req, node: Node) -> bool:
         if self.now < max(node.benched_until, node.full_until) or node.bench and node.out:
@@ -520,8 +527,9 @@
     # Cold nodes
 
     def is_cold(self, node: Node) -> bool:
+        since = max(node.row.started, node.lost_at)
         length = self.facts.parent_cold if node.row.kind == self.facts.parent_kind else self.facts.cold
-        return bool(node.row.started) and self.now < node.row.started + length
+        return bool(since) and self.now < since + length
 
     def weight(self, req: Req, node: Node) -> float:
         """In a budget: at a cache its vhost's mean sending time, at a parent its own if that is longer."""
@@ -530,29 +538,37 @@
 
     def in_budget(self, req: Req, node: Node) -> bool:
         """Guards 'no cold node pushed over'. Our share of a budget is taken from what we ourselves have
-        warm nodes of its kind carry: summed over all routers that stays under what such a node can do. Harms
-        where most nodes are cold at once, as part of their room goes unused."""
+        warm nodes of its kind carry: summed over all routers that stays under what such a node can do. Each
+        req overdraws it by what it weighs, and the first one waits a chance part of that, so that many
+        routers with a req each fall apart in time. Harms where most nodes are cold at once, as part of their
+        room goes unused."""
         if node is self.origin or not self.is_cold(node):
+            node.room = None
             return True
         facts = self.facts
         parent = node.row.kind == facts.parent_kind
-        while node.sent and node.sent[0][0] < self.now - facts.fall:
-            node.sent_sum -= node.sent.popleft()[1]
         least, length, multiple = facts.cold_from, facts.cold, facts.fall_multiple
         if parent:
             least, length, multiple = facts.parent_cold_from, facts.parent_cold, facts.parent_fall_multiple
-        age = max(0, self.now - facts.fall - node.row.started)
+        age = max(0, self.now - facts.fall - max(node.row.started, node.lost_at))
         share = least + (1 - least) * age / max(1, length)
         if facts.weights in ("nominal", "rough"):
             capacity = node.row.weight / (facts.routers if parent else facts.routers_here)
         else:
             capacity = self.carried_by_kind(node.row.kind)
-        budget = multiple * share * capacity * facts.fall
-        return node.sent_sum + self.weight(req, node) <= COLD_MARGIN * budget
+        if node.room is None:
+            node.room = -self.chance.share() * self.weight(req, node)
+        else:
+            gained = COLD_MARGIN * multiple * share * capacity * (self.now - node.room_at)
+            node.room = min(self.weight(req, node), node.room + gained)
+        node.room_at = self.now
+        return node.room >= 0
 
     def carried_by_kind(self, kind: int) -> float:
+        """What a warm node of the kind can do for us: what it carries, over how busy it says it is."""
         warm = [node for node in (self.parents if kind == self.facts.parent_kind else self.caches)
                 if node.row.kind == kind and not self.is_cold(node) and not node.bench]
         if warm:
-            self.usual[kind] = sum(node.carry_now(self.now) for node in warm) / len(warm)
+            busy = sum(node.busy for node in warm) if "busy" in self.facts.load_fields else len(warm)
+            self.usual[kind] = sum(node.carry_now(self.now) for node in warm) / max(busy, 0.1 * len(warm))
         return self.usual.get(kind, 0.0)
