A source is suspected only where its cache lives; a node that does what it held was only slow

Cause: parents of silent caches were taken as restarted, and slow nodes too, and held to a cold share for its whole length.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -401,16 +401,16 @@
                 each.out.pop(req.id, None)
         if result == "done":
             filled = source is not None and what.note in (2, 3, 4)
-            self.succeeded(node, req.work)
+            self.succeeded(node, req, req.work)
             if not req.size:
                 req.vhost.learn(what.took)
             if filled:
-                self.succeeded(source, req.work)
+                self.succeeded(source, req, req.work)
             if filled or node.row.zone != self.facts.zone:
                 self.inlet.paced(what.took, req, self.now, self.memory)
             (source if filled else node).paced(what.took, req, self.now, self.memory)
         elif result == "miss":
-            self.succeeded(node, 0)
+            self.succeeded(node, req, 0)
             req.asked.append(node)
             if source is not None:
                 req.failed.append(source)
@@ -446,8 +446,10 @@
 
     # Health
 
-    def succeeded(self, node: Node, work: int) -> None:
+    def succeeded(self, node: Node, req: Req, work: int) -> None:
         node.answered_at = self.now
+        if req.sent_at < node.lost_at:  # what a restart would have lost was done: it was only slow
+            node.lost_at = 0
         node.carried(work, self.now)
         node.bad *= 1 - LATELY
         if node.bench and self.now >= node.benched_until:
@@ -501,8 +503,9 @@
     def silent(self, node: Node) -> bool:
         """True when a dispatch is overdue and the node has shown no life since. Guards against nodes that
         take reqs and never answer, before the time-outs tell; may harm where a node's only req is merely
-        slow. A node found silent counts as just started: it may come back cold before the list says so."""
-        if any(node.answered_at <= req.sent_at
+        slow. A source is only suspected where the cache that asked it lives. A node found silent counts as
+        just started: it may come back cold before the list says so."""
+        if any(node.answered_at <= req.sent_at and (node is req.node or req.node.answered_at > req.sent_at)
                and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
                for req in node.out.values()):
             node.lost_at = self.now
