--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -141,3 +141,45 @@
             act, number = asked(one.step(now + 5000, outcome(act, "full", took=5000))), 1
         one.step(now + 5500, outcome(act, "done", number, note=2))
     assert one.nodes["p0"].bench and not any(one.nodes[name].bench for name in CACHES)
+
+
+def test_silent_node_counts_as_just_started_until_it_does_what_it_held():
+    one = router()
+    held = asked(one.step(10, req("a", obj=3)))
+    one.step(12000, req("z", obj=3))
+    node = one.nodes[held.node]
+    assert one.is_cold(node)
+    one.step(12500, outcome(held, "done", took=12490))
+    assert not one.is_cold(node)
+
+
+def test_silent_caches_cast_no_suspicion_on_their_source():
+    one = router(names=("c0", "p0", "o"))
+    asked(one.step(10, req("a")))
+    one.step(12000, req("b", obj=2))
+    assert one.is_cold(one.nodes["c0"]) and not one.is_cold(one.nodes["p0"])
+
+
+def test_many_routers_together_keep_a_cold_budget_and_use_it():
+    """Each sees far less than a req in the time that the rule counts by."""
+    count, now, sent = 40, 200000, []
+    facts = deployment(routers=count, routers_here=count, weights="nominal")
+    many = [router(facts, ("c0",)) for _ in range(count)]
+    for place, one in enumerate(many):
+        one.chance.state += place * 0x9E3779B97F4A7C15
+        one.step(now, face.Listed(False, (row("c0", started=now),)))
+    for i in range(4000):
+        now += 20
+        for act in many[i * 7 % count].step(now, req("a%d" % i, obj=i, size=500.0)):
+            if type(act) in (face.Ask, face.Fetch):
+                sent.append(now)
+                many[i * 7 % count].step(now + 10, outcome(act, "done", note=1))
+    start, rule = 200000, facts.fall_multiple * 20.0 * facts.fall / 1000  # in reqs, but for the share
+    for at in range(start + facts.fall, now, 5000):
+        share = facts.cold_from + (1 - facts.cold_from) * (at - facts.fall - start) / facts.cold
+        count_here = sum(at - facts.fall < when <= at for when in sent)
+        assert 0.1 * share * rule <= count_here <= share * rule
+
+
+def test_many_routers_remember_paces_for_longer():
+    assert router(deployment(routers_here=16)).memory > 2 * router().memory
