A first sighting ranks lowest where the table would keep it

One req is no rate yet: it is kept, but goes first. May harm where most objects are asked for through one router once and then through others.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -333,8 +333,10 @@
                     continue
                 if node not in req.ranks:
                     above = node.table.count(req.key, req.size, self.now)
-                    lowest = 1 if req.lately else 0
-                    req.ranks[node] = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else lowest
+                    rank = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1
+                    if not req.lately:  # a first sighting has no rate yet
+                        rank = 1 if rank > 1 else 0
+                    req.ranks[node] = rank
                 rank = req.ranks[node]
                 return self.dispatch(req, node, source if rank and source is not None else node, rank)
         if fit and source is not None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -183,3 +183,9 @@
 
 def test_many_routers_remember_paces_for_longer():
     assert router(deployment(routers_here=16)).memory > 2 * router().memory
+
+
+def test_first_sightings_rank_lowest():
+    one = router(names=("c0", "p0", "o"))
+    ranks = [asked(one.step(10 + i, req("a%d" % i))).rank for i in range(3)]
+    assert ranks == [1, 3, 3]
