--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -26,7 +26,7 @@
 
 K = 2  # caches that a req walks
 HALF_LIFE = 100_000  # of the rates in a cache's table
-HIGH, MIDDLE = 16, 48  # entries of a table that rank high; and the next that rank middle
+HIGH, MIDDLE = 32, 96  # entries of a table that rank high; and the next that rank middle
 TABLE = 4096  # entries of a table, and objects remembered as seen
 FILLS_BOUND = 24  # fills under way at a parent, ours, above which the object's next parent is asked
 LATELY = 0.25  # weight of the newest outcome in a node's share of failures
