Parents are asked only for what they hold for a moment after a late full answer

A full answer too late for the cache's own door may be the origin's behind a parent, so for a moment no req that a parent lacks goes there. The moment is longer by the location's routers, each sending that much less. Should hold for any overload behind the parents; may harm where a parent is merely out of places for fills.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -377,7 +377,8 @@
             if source is node and node in self.parents and self.origin is not None:
                 source = self.origin
             renew = bool(req.vhost.facts.fresh) and source is not node
-            act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, renew, False)
+            held = source in self.parents and self.origin is not None and now < self.origin.full_until
+            act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, renew, held)
         req.node, req.source, req.sent_at = node, source if source is not node else None, now
         req.dispatches += 1
         inlet = self.inlet if req.source is not None or node.row.zone != facts.zone else None
@@ -415,8 +416,8 @@
         elif result == "miss":
             self.succeeded(node, req, 0)
             req.asked.append(node)
-            if source is not None:
-                req.failed.append(source)
+            if source is not None:  # who else would hold it: fills meet at one parent
+                req.failed += [source] if source is self.origin else self.parents
         elif result not in ("cancelled", "unsent"):
             req.failed.append(self.blame(req, node, source, what))
         if result in ("error", "timeout", "reset", "cancelled") and req.may_have_run is None:
@@ -469,8 +470,10 @@
         quick = what.took <= 2 * self.facts.tick  # too soon for word from any source
         if result == "full":  # turned away at the door of one or the other: alive, but crowded
             culprit = node if quick or source is None or what.note == 9 else source
-            culprit.full_until = self.now + int(FULL * req.vhost.mean_work())
+            culprit.full_until = self.now + int(FULL * req.vhost.mean_work() * self.facts.routers_here)
             node.answered_at = self.now
+            if culprit is source and self.origin is not None and what.note in (0, 10):
+                self.origin.full_until = culprit.full_until  # it may have been the origin behind a parent
             if culprit is source and what.took > req.vhost.facts.target:  # waited for in vain
                 source.bad += LATELY * (1 - source.bad)
                 self.bench(source)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -189,3 +189,13 @@
     one = router(names=("c0", "p0", "o"))
     ranks = [asked(one.step(10 + i, req("a%d" % i))).rank for i in range(3)]
     assert ranks == [1, 3, 3]
+
+
+def test_parents_are_asked_only_for_what_they_hold_after_a_late_full():
+    one = router(deployment(notes="hit", bypass=False))
+    act = asked(one.step(10, req("a")))
+    one.step(1000, outcome(act, "full", took=990))
+    act = asked(one.step(1010, req("b", obj=2)))
+    assert act.held_only and act.source in ("p0", "p1")
+    act = one.step(1020, outcome(act, "miss"))[0]
+    assert type(act) is face.Ask or type(act) is face.Deny  # no other parent is asked
