--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -579,5 +579,6 @@
                 if node.row.kind == kind and not self.is_cold(node) and not node.bench]
         if warm:
             busy = sum(node.busy for node in warm) if "busy" in self.facts.load_fields else len(warm)
-            self.usual[kind] = sum(node.carry_now(self.now) for node in warm) / max(busy, 0.1 * len(warm))
+            can = sum(node.carry_now(self.now) for node in warm) / max(busy, 0.1 * len(warm))
+            self.usual[kind] = max(can, self.usual.get(kind, 0.0))  # less may only mean that less was asked
         return self.usual.get(kind, 0.0)
