A node found silent is held for cold a quarter of the time unless the list tells of a start

Told from restarts by a list without any change. May harm where the list is later than that in telling of a restart.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -9,8 +9,10 @@
 Mechanisms beside the design:
  1. bench: nodes that fail more than their peers are passed over for a while and let back in by single
     trials.
- 2. silence watch: nodes that owe an answer and show no life are passed over before their time-outs tell.
- 3. crowding: caches, sources and the link in whose seen pace would miss a req's target are passed over.
+ 2. silence watch: nodes that owe an answer and show no life are passed over before their time-outs tell,
+    and held for cold for a while after.
+ 3. crowding: caches, sources and the link in whose seen pace would miss a req's target are passed over;
+    parents are only asked for what they hold when the origin behind them may be full.
  4. cold budget: a node that started lately gets no more than its share of what it can do.
  5. purge limit: copies older than a purge are refused until the purge has settled.
  6. past the caches: where the settings allow it and no cache will do, a req goes straight to its source.
@@ -31,7 +33,8 @@
 FILLS_BOUND = 24  # fills under way at a parent, ours, above which the object's next parent is asked
 LATELY = 0.25  # weight of the newest outcome in a node's share of failures
 BAD, WELL = 0.7, 0.25  # shares of failures above which a node is benched, and below which it is trusted again
-FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time
+FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time,
+# times the location's routers: each of them sends that much less
 SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
 PACE_MEMORY = 0.25  # half-life of a lone router's memory of paces, as a share of the longest client timeout
 PACE_PRIOR = 0.05  # work at full pace that a node is taken to have done besides, as a share of the same
@@ -41,6 +44,7 @@
 CROWDED = 1.5  # a node that takes this many times the sending time has no room for reqs that are late already
 BENCH = 0.25  # first bench, as a share of the longest client timeout; doubles to BENCH_MOST
 BENCH_MOST = 4.0
+LOST = 0.25  # a node that was silent is held for cold this part of the time, then the list would have told
 COLD_MARGIN = 0.75  # part of a cold node's budget that we dare use: its capacity is judged, not told
 CARRY = 100_000  # time over which the work that a node carries is averaged
 MEAN_WEIGHT = 20  # reqs that the first guess of a vhost's mean sending time weighs
@@ -334,7 +338,7 @@
                 if node not in req.ranks:
                     above = node.table.count(req.key, req.size, self.now)
                     rank = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1
-                    if not req.lately:  # a first sighting has no rate yet
+                    if not req.lately:  # a first sighting is no rate yet; short tables rank all of them high
                         rank = 1 if rank > 1 else 0
                     req.ranks[node] = rank
                 rank = req.ranks[node]
@@ -377,6 +381,7 @@
             if source is node and node in self.parents and self.origin is not None:
                 source = self.origin
             renew = bool(req.vhost.facts.fresh) and source is not node
+            # guards against pushing a crowded origin further, each parent asking it anew; see blame
             held = source in self.parents and self.origin is not None and now < self.origin.full_until
             act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, renew, held)
         req.node, req.source, req.sent_at = node, source if source is not node else None, now
@@ -536,9 +541,9 @@
     # Cold nodes
 
     def is_cold(self, node: Node) -> bool:
-        since = max(node.row.started, node.lost_at)
         length = self.facts.parent_cold if node.row.kind == self.facts.parent_kind else self.facts.cold
-        return bool(since) and self.now < since + length
+        lost = node.lost_at and self.now < node.lost_at + LOST * length
+        return bool(lost or node.row.started and self.now < node.row.started + length)
 
     def weight(self, req: Req, node: Node) -> float:
         """In a budget: at a cache its vhost's mean sending time, at a parent its own if that is longer."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -199,3 +199,11 @@
     assert act.held_only and act.source in ("p0", "p1")
     act = one.step(1020, outcome(act, "miss"))[0]
     assert type(act) is face.Ask or type(act) is face.Deny  # no other parent is asked
+
+
+def test_a_silent_node_is_not_held_for_cold_for_long_when_the_list_tells_nothing():
+    one = router()
+    held = asked(one.step(10, req("a", obj=3)))
+    one.step(12000, req("z", obj=3))
+    one.now = 12000 + one.facts.cold // 2
+    assert not one.is_cold(one.nodes[held.node])
