--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -33,8 +33,8 @@
 FILLS_BOUND = 24  # fills under way at a parent, ours, above which the object's next parent is asked
 LATELY = 0.25  # weight of the newest outcome in a node's share of failures
 BAD, WELL = 0.7, 0.25  # shares of failures above which a node is benched, and below which it is trusted again
-FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time,
-# times the location's routers: each of them sends that much less
+FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time
+# times the location's routers, as each of them sends that much less
 SILENT = 2.0  # a dispatch is overdue after this many times its sending time, and a first-byte target
 PACE_MEMORY = 0.25  # half-life of a lone router's memory of paces, as a share of the longest client timeout
 PACE_PRIOR = 0.05  # work at full pace that a node is taken to have done besides, as a share of the same
@@ -161,7 +161,7 @@
         self.busy = 1.0  # share of what it can do that it says is in use, averaged
         self.carry, self.carry_at = 0.0, 0  # work done for us in each unit of time, averaged
         self.lost_at = 0  # when it last took no connection or was found silent
-        self.room: Optional[float] = None  # while cold: work that it may still be sent, below 0 when overdrawn
+        self.room: Optional[float] = None  # while cold: work that it may be sent, below 0 when overdrawn
         self.room_at = 0
 
     def carried(self, work: float, now: int) -> None:
@@ -205,7 +205,7 @@
         self.parents: List[Node] = []
         self.origin: Optional[Node] = None
         self.inlet = Flow()  # the location's link in, which all fills share
-        self.memory = PACE_MEMORY * self.longest * facts.routers_here ** 0.5  # each sees the less, the more share
+        self.memory = PACE_MEMORY * self.longest * facts.routers_here ** 0.5  # more routers, less seen by each
         self.prior = PACE_PRIOR * self.longest
         self.listed = False
         self.reqs: Dict[str, Req] = {}
