--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -205,7 +205,7 @@
         self.parents: List[Node] = []
         self.origin: Optional[Node] = None
         self.inlet = Flow()  # the location's link in, which all fills share
-        self.memory = PACE_MEMORY * self.longest * facts.routers_here ** 0.5  # more routers, less seen by each
+        self.memory = PACE_MEMORY * self.longest * facts.routers_here ** 0.5  # the more, the less each sees
         self.prior = PACE_PRIOR * self.longest
         self.listed = False
         self.reqs: Dict[str, Req] = {}
