--- a/ironhinge/interface.py
+++ b/ironhinge/interface.py
@@ -61,6 +61,7 @@
     parent_cold_from: float
     parent_cold: int
     parent_fall_multiple: float
+    origin_fall_multiple: float  # asked for this many times what it can do, the origin stops; 0: never
     drain_grace: int
     purge_grace: int
     purge_settles: int  # by then old copies are gone everywhere
--- a/ironhinge/wirehost/codec.py
+++ b/ironhinge/wirehost/codec.py
@@ -183,6 +183,7 @@
         parent_cold_from=extra.number("parent-cold-from"),
         parent_cold=extra.up("parent-warms-in"),
         parent_fall_multiple=extra.number("parent-limit-factor"),
+        origin_fall_multiple=extra.number("origin-limit-factor"),
         drain_grace=rules.down("drain-grace"),
         purge_grace=extra.down("obey-after"),
         purge_settles=extra.up("purge-settles"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -47,6 +47,7 @@
         parent_cold_from=0.1,
         parent_cold=200000,
         parent_fall_multiple=2.0,
+        origin_fall_multiple=2.5,
         drain_grace=5000,
         purge_grace=3000,
         purge_settles=60000,
