--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -477,9 +477,9 @@
             culprit = node if quick or source is None or what.note == 9 else source
             culprit.full_until = self.now + int(FULL * req.vhost.mean_work() * self.facts.routers_here)
             node.answered_at = self.now
-            behind = self.facts.origin_fall_multiple and what.took <= req.vhost.facts.target
-            if culprit is source and self.origin is not None and behind and what.note in (0, 10):
-                self.origin.full_until = culprit.full_until  # maybe refused behind a parent, and soon to stop
+            behind = what.note == 10 or not what.note and any(each in self.parents for each in req.failed)
+            if culprit is source and self.origin is not None and behind and self.facts.origin_fall_multiple:
+                self.origin.full_until = culprit.full_until  # the second parent in turn: it is behind them
             if culprit is source and what.took > req.vhost.facts.target:  # waited for in vain
                 source.bad += LATELY * (1 - source.bad)
                 self.bench(source)
