--- /dev/null
+++ b/ironhinge/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m ironhinge`: the command line."""
+
+from .cli import main
+
+main(prog_name="ironhinge")
--- /dev/null
+++ b/ironhinge/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real director: the decision module on sockets."""
--- /dev/null
+++ b/ironhinge/net/clientwire.py
@@ -0,0 +1,187 @@
+"""Owns the clients' frames: bytes in become messages, answers become bytes.
+
+It must never know a socket, a clock or an open req of the director; all it remembers of a connection is a
+frame begun and not yet whole.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import Dict, List, NamedTuple, Optional, Tuple, Union
+
+REQ, ANSWER, LEAVE, ASK_READY, TELL_READY, NO_MORE = 7, 8, 9, 1, 2, 3
+DONE, DENIED, ABORTED = 1, 2, 3
+READY, NOT_READY = 1, 2
+LEAST, MOST = 5, 262_144  # what a frame's length may say
+HEAD = struct.Struct(">IBI")
+
+
+class Came(NamedTuple):
+    stream: int
+    fields: Dict[str, str]
+    body: bytes
+
+
+class Unreadable(NamedTuple):
+    """A req whose fields can't be read; the framing holds."""
+
+    stream: int
+    text: str
+
+
+class Gone(NamedTuple):
+    """Nobody waits for this stream any more."""
+
+    stream: int
+
+
+class ReadyAsked(NamedTuple):
+    stream: int
+
+
+class Unknown(NamedTuple):
+    """A frame of a type that clients don't send."""
+
+    text: str
+
+
+class Lost(NamedTuple):
+    """The framing is lost; nothing after it can be read."""
+
+    text: str
+
+
+Message = Union[Came, Unreadable, Gone, ReadyAsked, Unknown, Lost]
+
+
+def read_fields(data: bytes) -> Tuple[Dict[str, str], int]:
+    """The fields at the start of `data`, and where they end; ValueError says what is wrong with them."""
+    if not data:
+        raise ValueError("the count of fields is missing")
+    fields: Dict[str, str] = {}
+    at = 1
+    for _ in range(data[0]):
+        sizes = []
+        for width in (1, 2):
+            end = at + width
+            size = int.from_bytes(data[at:end], "big")
+            if end + size > len(data):
+                raise ValueError(f"field {len(fields) + 1} is cut short")
+            sizes.append(data[end : end + size])
+            at = end + size
+        try:
+            name, value = sizes[0].decode(), sizes[1].decode()
+        except UnicodeDecodeError:
+            raise ValueError(f"field {len(fields) + 1} is not text") from None
+        if name in fields:
+            raise ValueError(f"field '{name}' stands twice")
+        fields[name] = value
+    return fields, at
+
+
+def write_fields(fields: Dict[str, str]) -> bytes:
+    parts = [bytes((len(fields),))]
+    for name, value in fields.items():
+        key, text = name.encode(), value.encode()
+        parts += [bytes((len(key),)), key, len(text).to_bytes(2, "big"), text]
+    return b"".join(parts)
+
+
+def frame(kind: int, stream: int, *payload: bytes) -> Tuple[bytes, ...]:
+    """A frame in pieces, so that a long body is not copied."""
+    return (HEAD.pack(5 + sum(map(len, payload)), kind, stream), *payload)
+
+
+def answer(stream: int, code: int, fields: Dict[str, str], body: bytes = b"") -> Tuple[bytes, ...]:
+    return frame(ANSWER, stream, bytes((code,)) + write_fields(fields), body)
+
+
+def error(text: str) -> Tuple[bytes, ...]:
+    """An error that belongs to no req."""
+    return answer(0, ABORTED, {}, text.encode())
+
+
+def ready(stream: int, yes: bool) -> Tuple[bytes, ...]:
+    return frame(TELL_READY, stream, bytes((READY if yes else NOT_READY,)) + write_fields({}))
+
+
+def no_more() -> Tuple[bytes, ...]:
+    return frame(NO_MORE, 0)
+
+
+class ClientWire:
+    """Fed the bytes of one connection in any pieces."""
+
+    __slots__ = ("held", "need", "lost")
+
+    def __init__(self) -> None:
+        self.held = bytearray()
+        self.need = 4  # bytes to hold before the next step
+        self.lost = False
+
+    def feed(self, data: memoryview) -> List[Message]:
+        out: List[Message] = []
+        if self.lost:
+            return out
+        self.held += data
+        at = 0
+        while len(self.held) - at >= self.need:
+            length = int.from_bytes(self.held[at : at + 4], "big")
+            if not LEAST <= length <= MOST:
+                self.lost = True
+                self.held = bytearray()
+                out.append(Lost(f"a frame's length of {length} is out of bounds"))
+                return out
+            if len(self.held) - at < 4 + length:
+                self.need = 4 + length
+                break
+            self.need = 4
+            out.append(self._message(bytes(self.held[at + 4 : at + 4 + length])))
+            at += 4 + length
+        if at == len(self.held):
+            self.held = bytearray()  # gives back what a crowd or a long frame took
+        elif at:
+            del self.held[:at]
+        return out
+
+    def _message(self, data: bytes) -> Message:
+        kind, stream = data[0], int.from_bytes(data[1:5], "big")
+        if kind == REQ:
+            try:
+                fields, end = read_fields(data[5:])
+            except ValueError as fault:
+                return Unreadable(stream, str(fault))
+            return Came(stream, fields, data[5 + end :])
+        if kind == LEAVE:
+            return Gone(stream)
+        if kind == ASK_READY:
+            return ReadyAsked(stream)
+        return Unknown(f"type {kind} is not one that clients send")
+
+
+def text_of(fields: Dict[str, str], name: str) -> str:
+    """A field's text; ValueError names the field that is missing."""
+    if name not in fields:
+        raise ValueError(f"field '{name}' is missing")
+    return fields[name]
+
+
+def number_of(fields: Dict[str, str], name: str, absent: Optional[float] = None) -> float:
+    """A field as a number of 0 or more; ValueError names the field at fault."""
+    if name not in fields and absent is not None:
+        return absent
+    try:
+        value = float(text_of(fields, name))
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e15:
+        raise ValueError(f"field '{name}' is missing or not a number")
+    return value
+
+
+def digits_of(fields: Dict[str, str], name: str) -> str:
+    """A field of 16 hex digits; ValueError names the field at fault."""
+    text = text_of(fields, name)
+    if len(text) != 16 or not all(digit in "0123456789abcdef" for digit in text.lower()):
+        raise ValueError(f"field '{name}' is not 16 hex digits")
+    return text
--- /dev/null
+++ b/ironhinge/net/ending.py
@@ -0,0 +1,45 @@
+"""Owns the ways in which a dispatch, or the connection under it, can end, and what each means to the module.
+
+It must never hold any other mapping of ends: whoever learns how something ended names one of these values.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+
+class Ending(Enum):
+    SERVED = auto()  # the bytes came whole
+    SAME = auto()  # the client's copy is the one
+    MISSED = auto()  # no copy that will do: it never ran
+    FULL = auto()  # turned away: it never ran
+    ERRED = auto()  # an error came: it may have run
+    STALE = auto()  # the node took it for over: it never ran
+    REFUSED = auto()  # the connection was refused: nothing ran
+    NEVER_UP = auto()  # no connection came up in time: nothing ran
+    UNWRITTEN = auto()  # ended here before the command was written whole: the node never had it
+    CUT = auto()  # the connection broke before the command was written whole: the node never had it
+    RESET = auto()  # the connection was reset after the command was written: it may have run
+    CLOSED = auto()  # the connection was closed after the command was written: it may have run
+    GARBLED = auto()  # what the node sent can't be read: it may have run
+    TIMED_OUT = auto()  # no answer by the time that the module set: it may still be running
+    CALLED_OFF = auto()  # the module gave it up: it may have run
+
+
+RESULTS = {
+    Ending.SERVED: "done",
+    Ending.SAME: "done",
+    Ending.MISSED: "miss",
+    Ending.FULL: "full",
+    Ending.ERRED: "error",
+    Ending.STALE: "unsent",
+    Ending.REFUSED: "unconnected",
+    Ending.NEVER_UP: "unconnected",
+    Ending.UNWRITTEN: "unsent",
+    Ending.CUT: "unconnected",
+    Ending.RESET: "reset",
+    Ending.CLOSED: "reset",
+    Ending.GARBLED: "error",
+    Ending.TIMED_OUT: "timeout",
+    Ending.CALLED_OFF: "cancelled",
+}
--- /dev/null
+++ b/ironhinge/net/feed.py
@@ -0,0 +1,83 @@
+"""Owns the coordinator's frames: numbered changes of the list of nodes, and purges.
+
+It must never know a socket or hold the list; all it remembers is a frame begun and not yet whole.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import Any, List, NamedTuple, Optional, Tuple
+
+from .. import interface as face
+from ..facts import Address, Listing, ListNews, PurgeNews
+
+RECORD = struct.Struct(">I4sHBBBHIQ")
+HEAD = 9  # number and kind
+MOST = 16_777_216
+STATES = ("ready", "draining", "gone")
+NOTHING, WHOLE, CHANGES, OBJECT, GROUP = range(5)
+
+
+class Unparsable(Exception):
+    """The bytes are no frame of the coordinator's."""
+
+
+class Alive(NamedTuple):
+    """Nothing new, but the coordinator lives."""
+
+
+def hello(number: int) -> bytes:
+    """What a director writes first: the last event that it has."""
+    return number.to_bytes(8, "big")
+
+
+def _listing(values: Tuple[Any, ...]) -> Listing:
+    name, host, port, state, zone, kind, cell, weight, started = values
+    if state >= len(STATES):
+        raise Unparsable(f"a record with state {state}")
+    row = face.NodeRow(f"s-{name:08x}", STATES[state], cell, zone, 0, weight / 1000, kind)
+    return Listing(row, Address(socket.inet_ntoa(host), port), started)
+
+
+def _news(data: bytes) -> Any:
+    number, kind, rest = int.from_bytes(data[:8], "big"), data[8], data[HEAD:]
+    if kind == NOTHING:
+        return Alive()
+    if kind in (WHOLE, CHANGES):
+        if len(rest) % RECORD.size:
+            raise Unparsable(f"records of {len(rest)} bytes")
+        return ListNews(number, kind == WHOLE, tuple(map(_listing, RECORD.iter_unpack(rest))))
+    width = {OBJECT: 8, GROUP: 2}.get(kind)
+    if width is None or len(rest) != width + 8:
+        raise Unparsable(f"a frame of kind {kind} and {len(rest)} bytes")
+    what, at = int.from_bytes(rest[:width], "big"), int.from_bytes(rest[width:], "big")
+    return PurgeNews(number, what, 0, at) if kind == OBJECT else PurgeNews(number, None, what, at)
+
+
+class FeedWire:
+    """Fed the bytes of one connection in any pieces."""
+
+    __slots__ = ("held",)
+
+    def __init__(self) -> None:
+        self.held = bytearray()
+
+    def feed(self, data: memoryview) -> Tuple[List[Any], Optional[Unparsable]]:
+        """The news that are whole now, and what made the rest unreadable, if anything did."""
+        out: List[Any] = []
+        self.held += data
+        at, fault = 0, None
+        try:
+            while len(self.held) - at >= 4:
+                length = int.from_bytes(self.held[at : at + 4], "big")
+                if not HEAD <= length <= MOST:
+                    raise Unparsable(f"a frame of {length} bytes")
+                if len(self.held) - at < 4 + length:
+                    break
+                out.append(_news(bytes(self.held[at + 4 : at + 4 + length])))
+                at += 4 + length
+        except Unparsable as found:
+            fault = found
+        del self.held[:at]
+        return out, fault
--- a/ironhinge/wirehost/host.py
+++ b/ironhinge/wirehost/host.py
@@ -8,8 +8,8 @@
 
 from .. import interface as face
 from ..brain import Router
+from ..facts import REQUIRED, UNIT, Fields, Malformed, deployment, node_rows
 from . import codec
-from .codec import Fields, Malformed
 
 
 class Host:
@@ -25,10 +25,10 @@
             whole = Fields("batch", json.loads(line))
         except ValueError as fault:
             raise Malformed(f"batch: not JSON in UTF-8 ({fault})") from None
-        wall, number = whole.whole("wall", codec.REQUIRED), whole.whole("seq", codec.REQUIRED)
+        wall, number = whole.whole("wall", REQUIRED), whole.whole("seq", REQUIRED)
         outbox: List[Dict[str, Any]] = []
         for event in whole.rows("input"):
-            outbox.extend(self.event(wall // codec.UNIT, event))
+            outbox.extend(self.event(wall // UNIT, event))
         return {"seq": number, "outbox": outbox}
 
     def event(self, now: int, event: Any) -> List[Dict[str, Any]]:
@@ -37,9 +37,9 @@
         ((name, values),) = event.items()
         fields = Fields(name, values)
         if name == "MANIFEST":
-            self.lists[fields.whole("list")] = codec.node_rows(fields)
+            self.lists[fields.whole("list")] = node_rows(fields)
             return []
-        director = fields.whole("director", codec.REQUIRED)
+        director = fields.whole("director", REQUIRED)
         try:
             return codec.messages(director, self.hand_over(now, director, fields))
         except Malformed as fault:
@@ -56,7 +56,7 @@
         name = fields.message
         if name == "SPAWN":
             router = self.routers[director] = Router(
-                codec.deployment(fields.inner("settings")), fields.whole("seed")
+                deployment(fields.inner("settings")), fields.whole("seed")
             )
             return router.step(now, face.Started())
         if name == "STOP":
