--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -517,11 +517,13 @@
         take reqs and never answer, before the time-outs tell; may harm where a node's only req is merely
         slow. A source is only suspected where the cache that asked it lives. A node found silent counts as
         just started: it may come back cold before the list says so."""
-        if any(node.answered_at <= req.sent_at and (node is req.node or req.node.answered_at > req.sent_at)
-               and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
-               for req in node.out.values()):
-            node.lost_at = self.now
-            return True
+        for req in reversed(node.out.values()):  # the latest first
+            if req.sent_at < node.answered_at:
+                break
+            if ((node is req.node or req.node.answered_at > req.sent_at)
+                    and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target):
+                node.lost_at = self.now
+                return True
         return False
 
     def fit(self, req: Req, node: Node) -> bool:
