--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -17,6 +17,7 @@
  5. purge limit: copies older than a purge are refused until the purge has settled.
  6. past the caches: where the settings allow it and no cache will do, a req goes straight to its source.
 """
+
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right, insort
@@ -205,7 +206,7 @@
         self.parents: List[Node] = []
         self.origin: Optional[Node] = None
         self.inlet = Flow()  # the location's link in, which all fills share
-        self.memory = PACE_MEMORY * self.longest * facts.routers_here ** 0.5  # the more, the less each sees
+        self.memory = PACE_MEMORY * self.longest * facts.routers_here**0.5  # the more, the less each sees
         self.prior = PACE_PRIOR * self.longest
         self.listed = False
         self.reqs: Dict[str, Req] = {}
@@ -263,8 +264,8 @@
         facts, ready = self.facts, [node for node in self.nodes.values() if node.row.state == "ready"]
         self.parents = [node for node in ready if node.row.kind == facts.parent_kind]
         self.origin = next((node for node in ready if node.row.kind == facts.origin_kind), None)
-        self.caches = [node for node in ready if node.row.zone == facts.zone
-                       and node.row.kind not in (facts.parent_kind, facts.origin_kind)]
+        behind = (facts.parent_kind, facts.origin_kind)
+        self.caches = [each for each in ready if each.row.zone == facts.zone and each.row.kind not in behind]
 
     # Purges
 
@@ -347,8 +348,7 @@
             return self.dispatch(req, fit[0], source, 0)
         if facts.bypass and source is not None and self.allowed(req, source):
             return self.dispatch(req, source, source, 0)
-        rest = [node for node in able if self.now >= node.full_until and self.in_budget(req, node)
-                and self.in_time(req, node)]
+        rest = [node for node in able if self.now >= node.full_until and self.has_room(req, node)]
         if rest and source is not None:
             best = min(rest, key=lambda node: (req.failed.count(node), node.benched_until))
             return self.dispatch(req, best, source, 0)
@@ -373,9 +373,8 @@
             # a silent node must leave time for another dispatch before the client timeout
             until = min(end, max(end - int(ROOM * req.work), now + (end - now) // 2))
         limit = self.age_limit(req)
-        if source is node and node.row.kind not in (facts.parent_kind, facts.origin_kind) and not limit:
-            act = face.Ask(req.id, node.id, until)
-        elif source is node and node is self.origin:
+        behind = node.row.kind in (facts.parent_kind, facts.origin_kind)
+        if source is node and (node is self.origin or not behind and not limit):
             act = face.Ask(req.id, node.id, until)
         else:
             if source is node and node in self.parents and self.origin is not None:
@@ -439,16 +438,16 @@
         facts, (first, at) = req.vhost.facts, req.may_have_run
         if facts.effect == "non-replayable" or self.now >= at + facts.window:
             return False
-        return (facts.scope == "all" or facts.scope == "zone" and node.row.zone == first.row.zone
-                or facts.scope == "cell" and node.row.cell == first.row.cell)
+        same_zone = facts.scope == "zone" and node.row.zone == first.row.zone
+        same_cell = facts.scope == "cell" and node.row.cell == first.row.cell
+        return facts.scope == "all" or same_zone or same_cell
 
     def give_up(self, req: Req) -> None:
         """The final answer of a req not done: a denial where trying again is harmless, else an abort."""
         del self.reqs[req.id]
-        vhost = req.vhost.facts
-        harmless = vhost.effect == "replayable" or req.may_have_run is None or (
-            vhost.effect == "uniqued" and vhost.scope == "all"
-            and self.now < req.may_have_run[1] + vhost.window)
+        vhost, ran = req.vhost.facts, req.may_have_run
+        dropped = vhost.effect == "uniqued" and vhost.scope == "all"  # repeats are, everywhere
+        harmless = vhost.effect == "replayable" or not ran or dropped and self.now < ran[1] + vhost.window
         slack = max(0, req.target_at - self.now - req.work)
         advice = min(self.facts.backoff, int(ADVICE * slack))  # back while the target can still be met
         self.acts.append(face.Deny(req.id, advice) if harmless else face.Abort(req.id))
@@ -520,8 +519,8 @@
         for req in reversed(node.out.values()):  # the latest first
             if req.sent_at < node.answered_at:
                 break
-            if ((node is req.node or req.node.answered_at > req.sent_at)
-                    and self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target):
+            overdue = self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
+            if overdue and (node is req.node or req.node.answered_at > req.sent_at):
                 node.lost_at = self.now
                 return True
         return False
@@ -529,7 +528,10 @@
     def fit(self, req: Req, node: Node) -> bool:
         if self.now < max(node.benched_until, node.full_until) or node.bench and node.out:
             return False
-        return not self.silent(node) and self.in_budget(req, node) and self.in_time(req, node)
+        return not self.silent(node) and self.has_room(req, node)
+
+    def has_room(self, req: Req, node: Node) -> bool:
+        return self.in_budget(req, node) and self.in_time(req, node)
 
     def in_time(self, req: Req, way: Flow) -> bool:
         """Whether the present pace would get the req done within its target; one that is late already only
@@ -583,8 +585,8 @@
 
     def carried_by_kind(self, kind: int) -> float:
         """What a warm node of the kind can do for us: what it carries, over how busy it says it is."""
-        warm = [node for node in (self.parents if kind == self.facts.parent_kind else self.caches)
-                if node.row.kind == kind and not self.is_cold(node) and not node.bench]
+        alike = self.parents if kind == self.facts.parent_kind else self.caches
+        warm = [each for each in alike if each.row.kind == kind and not self.is_cold(each) and not each.bench]
         if warm:
             busy = sum(node.busy for node in warm) if "busy" in self.facts.load_fields else len(warm)
             can = sum(node.carry_now(self.now) for node in warm) / max(busy, 0.1 * len(warm))
--- a/ironhinge/facts.py
+++ b/ironhinge/facts.py
@@ -1,8 +1,8 @@
-"""Reads settings, node lists and a director's configuration into the interface's types, once, for both fronts.
+"""Reads settings, node lists and a director's configuration into the interface's types, for both fronts.
 
 Settings times are microseconds, the interface's are tenths of a millisecond: instants of learning are rounded
-down, lasting duties up, allowances down. An absent field means what the pages say it means; unknown fields are
-skipped; a field of the wrong shape raises `Malformed`, naming where it stands. Nothing is decided here.
+down, lasting duties up, allowances down. An absent field means what the pages say it means; unknown fields
+are skipped; a field of the wrong shape raises `Malformed`, naming where it stands. Nothing is decided here.
 """
 
 from __future__ import annotations
@@ -323,9 +323,7 @@
                 ListNews(
                     number,
                     not news or change.mark("snapshot"),
-                    tuple(
-                        _listing(row, f"{where} endpoints[{at}]", names) for at, row in enumerate(rows)
-                    ),
+                    tuple(_listing(row, f"{where} endpoints[{at}]", names) for at, row in enumerate(rows)),
                 )
             )
         elif update.has("evict"):
--- a/ironhinge/net/clientwire.py
+++ b/ironhinge/net/clientwire.py
@@ -11,6 +11,7 @@
 
 REQ, ANSWER, LEAVE, ASK_READY, TELL_READY, NO_MORE = 7, 8, 9, 1, 2, 3
 DONE, DENIED, ABORTED = 1, 2, 3
+CODES = {DONE: "done", DENIED: "denied", ABORTED: "aborted"}
 READY, NOT_READY = 1, 2
 LEAST, MOST = 5, 262_144  # what a frame's length may say
 HEAD = struct.Struct(">IBI")
@@ -170,15 +171,24 @@
     """A field as a number of 0 or more; ValueError names the field at fault."""
     if name not in fields and absent is not None:
         return absent
+    text = text_of(fields, name)
     try:
-        value = float(text_of(fields, name))
+        value = float(text)
     except ValueError:
         value = -1.0
-    if not 0 <= value < 1e15:
-        raise ValueError(f"field '{name}' is missing or not a number")
+    if not 0 <= value < 1e12:
+        raise ValueError(f"field '{name}' is not a number")
     return value
 
 
+def count_of(fields: Dict[str, str], name: str) -> int:
+    """A field as a whole number, 0 where it is absent; ValueError names the field at fault."""
+    text = fields.get(name, "0")
+    if not (text.isascii() and text.isdigit() and len(text) < 10):
+        raise ValueError(f"field '{name}' is not a whole number")
+    return int(text)
+
+
 def digits_of(fields: Dict[str, str], name: str) -> str:
     """A field of 16 hex digits; ValueError names the field at fault."""
     text = text_of(fields, name)
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -1,33 +1,38 @@
-"""Owns the open reqs, their dispatches, the nodes' connections and the timers, and is the one place where
-happenings go to `Router.step` and its actions are carried out.
+"""Owns the open reqs, their dispatches and the timers, and is the one place where happenings go to
+`Router.step` and its actions are carried out.
 
-It must never choose a node, a time or an answer: it reports what happened, does what it is told, and sees that
-each req takes one final answer and each dispatch one end.
+It must never choose a node, a time or an answer: it reports what happened, does what it is told, and sees
+that each req gets one final answer and each dispatch one end.
 """
 
 from __future__ import annotations
 
+import socket
 import time
-from collections import deque
+from collections import Counter, deque
 from heapq import heappop, heappush
-from typing import Any, Callable, Deque, Dict, List, Optional, Tuple
+from typing import Any, Callable, Deque, Dict, List, Optional, Tuple, Union
 
 import anyio
+from anyio import lowlevel
 from loguru import logger
 
 from .. import interface as face
 from ..brain import Router
 from ..facts import Address, Assignment, ListNews, PurgeNews, load_report
-from . import clientwire, feed, nodewire
+from . import clientwire, nodewire
 from .ending import RESULTS, Ending
-from .links import Driver, Frame, Link, Receiver
+from .links import Driver
+from .parties import Client, Dispatch, Errand, FeedLink, Node
 
 MS = 10  # tenths of a millisecond
 SECOND = 1000 * MS
-STREAMS = 32  # open reqs that a client's connection carries, says the protocol
+PULSE = 50 * MS  # how often lateness is measured
+SWEEP = 10  # pulses between two looks for connections to let go
+REPORT = 1200  # pulses between two lines of counters
 FEED_SILENCE = 3 * SECOND  # the coordinator writes each second
-FEED_AGAIN = 0.1  # seconds before the coordinator is called again
-LINGER = SECOND  # a connection that we ended may stay half open for so long
+FEED_AGAIN, FEED_AGAIN_MOST = 0.05, 1.0  # seconds before the coordinator is called again
+LINGER = SECOND  # what a client has left unread, or half open, is given up after that
 
 
 class Clock:
@@ -37,144 +42,43 @@
     def now() -> int:
         return time.monotonic_ns() // 100_000
 
+    @staticmethod
+    def seconds(span: int) -> float:
+        return span / SECOND
+
     @staticmethod
     def unix_age(unix_ms: int) -> int:
-        """Time since a Unix millisecond, rounded down."""
-        return max(0, time.time_ns() // 100_000 - unix_ms * MS)
+        """Time since a Unix millisecond, rounded down; below 0 for one to come."""
+        return time.time_ns() // 100_000 - unix_ms * MS
 
     def from_unix(self, unix_ms: int) -> int:
-        return self.now() - (time.time_ns() // 100_000 - unix_ms * MS) + 1
+        """An instant on the module's clock, rounded up."""
+        return self.now() - self.unix_age(unix_ms) + 1
 
 
 class OpenReq:
     """From its last byte to its one final answer, and on until its dispatch has ended."""
 
-    __slots__ = ("id", "client", "stream", "fields", "body", "closed", "dispatches", "dispatch", "key", "group")
-
-    def __init__(self, came: face.ReqCame, client: "Client", stream: int, fields: Dict[str, str], body: bytes):
-        self.id, self.key, self.group = came.id, came.obj, came.group
-        self.client, self.stream, self.fields, self.body = client, stream, fields, body
+    __slots__ = (
+        "came",
+        "id",
+        "client",
+        "stream",
+        "fields",
+        "body",
+        "wanted_until",
+        "closed",
+        "dispatches",
+        "out",
+    )
+
+    def __init__(self, came: face.ReqCame, client: Client, message: clientwire.Came, now: int):
+        self.came, self.id, self.client = came, came.id, client
+        self.stream, self.fields, self.body = message.stream, message.fields, message.body
+        self.wanted_until = Clock.seconds(now + came.left + LINGER)  # by then its client has left for sure
         self.closed = False  # answered, or its client has left
         self.dispatches = 0
-        self.dispatch: Optional[Dispatch] = None
-
-
-class Dispatch:
-    __slots__ = ("req", "number", "node", "source", "sent_at", "frame", "link", "over")
-
-    def __init__(self, req: OpenReq, node: "Node", source: Optional["Node"], sent_at: int):
-        self.req, self.number, self.node, self.source, self.sent_at = req, req.dispatches, node, source, sent_at
-        self.link: Optional[Link] = None
-        self.frame: Optional[Frame] = None
-        self.over = False
-
-
-class Probing:
-    __slots__ = ("node", "sent_at", "tag", "link", "frame", "over")
-
-    def __init__(self, node: "Node", sent_at: int, tag: str):
-        self.node, self.sent_at, self.tag, self.over = node, sent_at, tag, False
-
-
-class Client(Receiver):
-    """The receiver of one client's connection."""
-
-    def __init__(self, director: "Director"):
-        self.director = director
-        self.wire = clientwire.ClientWire()
-        self.open: Dict[int, OpenReq] = {}
-        self.link: Link
-        self.ending_at: Optional[int] = None  # when we began to end it
-
-    def up(self, link: Link) -> None:
-        self.link = link
-        self.director.clients[self] = None
-        if self.director.leaving:
-            link.write(clientwire.no_more())
-
-    def receive(self, link: Link, data: memoryview) -> None:
-        if self.ending_at is not None:
-            return
-        for message in self.wire.feed(data):
-            self.director.client_said(self, message)
-
-    def ended(self, link: Link, ending: Ending) -> None:
-        self.director.clients.pop(self, None)
-        self.director.client_ended(self)
-
-    def refuse(self, text: str, now: int) -> None:
-        """Tells the client what is wrong and ends the connection once its open reqs are answered."""
-        logger.warning("a client's connection is ended: {}", text)
-        self.link.write(clientwire.error(text))
-        self.ending_at = now
-        if not self.open:
-            self.link.finish()
-
-
-class NodeLink(Receiver):
-    """The receiver of one connection to a node."""
-
-    def __init__(self, director: "Director", node: "Node"):
-        self.director, self.node = director, node
-        self.wire = nodewire.NodeWire()
-        self.open: Dict[str, Any] = {}  # dispatches and probes by the id that they bear on the wire
-        self.spent: set = set()  # ids given up here: a late answer could be taken for a later dispatch's
-        self.stale = False  # takes no more dispatches
-        self.idle_at = 0
-        self.link: Link
-
-    def up(self, link: Link) -> None: ...
-
-    def receive(self, link: Link, data: memoryview) -> None:
-        answers, fault = self.wire.feed(data)
-        for answer in answers:
-            out = self.open.get(answer.id)
-            if out is not None:
-                self.director.end(out, answer.ending, answer)
-        if fault is not None:
-            logger.warning("node {}: can't read {}", self.node.id, fault)
-            link.end(Ending.GARBLED)
-
-    def ended(self, link: Link, ending: Ending) -> None:
-        self.node.links.remove(self)
-        if ending in (Ending.REFUSED, Ending.NEVER_UP):
-            logger.info("node {} at {}: {}", self.node.id, self.node.address, ending.name)
-        for out in list(self.open.values()):
-            whole = link.is_up and link.written(out.frame)
-            told = ending if whole or not link.is_up else Ending.CUT
-            self.director.end(out, told)
-
-
-class Node:
-    """A cache node, parent or the origin as a place to connect to."""
-
-    def __init__(self, name: str, address: Address):
-        self.id, self.address = name, address
-        self.state, self.started_unix = "ready", 0
-        self.links: List[NodeLink] = []
-
-
-class FeedLink(Receiver):
-    """The receiver of the connection to the coordinator."""
-
-    def __init__(self, director: "Director"):
-        self.director = director
-        self.wire = feed.FeedWire()
-        self.over = anyio.Event()
-
-    def up(self, link: Link) -> None:
-        link.write((feed.hello(self.director.number),))
-
-    def receive(self, link: Link, data: memoryview) -> None:
-        news, fault = self.wire.feed(data)
-        for one in news:
-            self.director.learn(one)
-        if fault is not None:
-            logger.warning("coordinator: can't read {}", fault)
-            link.end(Ending.GARBLED)
-
-    def ended(self, link: Link, ending: Ending) -> None:
-        self.over.set()
+        self.out: Optional[Dispatch] = None
 
 
 class Director:
@@ -189,77 +93,70 @@
         self.stepping = False
         self.leaving = False
         self.lag = 0  # by how much the program was late, lately
-        self.timers: List[Tuple[int, int, Any]] = []
-        self.timer_count = 0
-        self.earlier = anyio.Event()
-        self.peers: Any = None  # the socket to the other directors
-        self.tags = 0
-        self.counts: Dict[str, int] = {}
-        self.carry: Dict[type, Callable[[Any], None]] = {
-            face.Ask: self._ask, face.Fetch: self._fetch, face.CallOff: self._call_off, face.Deny: self._deny,
-            face.Abort: self._abort, face.Remind: self._remind, face.Watch: self._nothing,
-            face.Snapshot: self._nothing, face.Probe: self._probe, face.Say: self._say, face.Log: self._log,
-        }  # fmt: skip
+        self.timers: List[Tuple[int, int, Union[str, Errand]]] = []
+        self.set_timers = 0
+        self.earlier = anyio.Event()  # a timer is due earlier than all others
+        self.peers: Optional[socket.socket] = None
+        self.probes = 0
+        self.counts: Counter[str] = Counter()
+        self.carry_out: Dict[type, Callable[[Any], None]] = {
+            face.Ask: self._ask,
+            face.Fetch: self._fetch,
+            face.CallOff: self._call_off,
+            face.Deny: self._deny,
+            face.Abort: self._abort,
+            face.Remind: self._remind,
+            face.Watch: self._nothing,
+            face.Snapshot: self._nothing,
+            face.Probe: self._probe,
+            face.Say: self._say,
+            face.Log: self._log,
+        }
 
     def start(self) -> None:
+        """All that is known goes to the module before any client does."""
         self.happen(face.Started())
         for news in self.told.known:
             self.learn(news)
         self.number = max(self.number, self.told.known_number)
 
-    # The module
-
     def happen(self, what: face.Happening) -> None:
-        """Tells the module, in order, and carries out what it answers."""
+        """Tells the module, in order, and carries out what it answers. A fault of the module costs the req at
+        hand, not the program."""
         self.queue.append(what)
         if self.stepping:
             return
         self.stepping = True
         try:
             while self.queue:
-                now = self.queue.popleft()
+                what = self.queue.popleft()
                 try:
-                    for act in self.router.step(self.clock.now(), now):
-                        self.carry[type(act)](act)
+                    for act in self.router.step(self.clock.now(), what):
+                        self.carry_out[type(act)](act)
                 except Exception:
-                    logger.exception("the module failed on {}", type(now).__name__)
-                    self._finish(getattr(now, "id", ""), clientwire.ABORTED, {})
+                    logger.exception("the module failed on {}", type(what).__name__)
+                    self.counts["faults"] += 1
+                    self._finish(getattr(what, "id", ""), clientwire.ABORTED, {})
         finally:
             self.stepping = False
 
-    # Clients
-
-    def client_said(self, client: Client, message: clientwire.Message) -> None:
-        kind = type(message)
-        if kind is clientwire.Came or kind is clientwire.Unreadable:
-            self._take(client, message)
-        elif kind is clientwire.Gone:
-            req = client.open.pop(message.stream, None)
-            if req is not None:
-                self._left(req)
-        elif kind is clientwire.ReadyAsked:
-            client.link.write(clientwire.ready(message.stream, not self.leaving))
-        else:
-            client.refuse(message.text, self.clock.now())
-
-    def _take(self, client: Client, message: Any) -> None:
-        stream = message.stream
-        if not stream or stream in client.open:
-            return client.refuse(f"stream {stream} can't take a req", self.clock.now())
-        if len(client.open) >= STREAMS:
-            return client.refuse(f"more than {STREAMS} open reqs", self.clock.now())
+    # Reqs
+
+    def take(self, client: Client, message: Union[clientwire.Came, clientwire.Unreadable]) -> None:
+        now = self.clock.now()
         try:
-            if type(message) is clientwire.Unreadable:
+            if isinstance(message, clientwire.Unreadable):
                 raise ValueError(message.text)
             came = self._came(message.fields)
         except ValueError as fault:
-            self._count("unreadable")
             logger.warning("a req can't be read: {}", fault)
-            client.link.write(clientwire.answer(stream, clientwire.ABORTED, {}, str(fault).encode()))
+            self.counts["unreadable"] += 1
+            text = str(fault).encode()
+            client.link.write(clientwire.answer(message.stream, clientwire.ABORTED, {}, text))
             return
-        req = OpenReq(came, client, stream, message.fields, message.body)
-        client.open[stream] = self.reqs[came.id] = req
-        self._count("reqs")
+        req = OpenReq(came, client, message, now)
+        client.open[req.stream] = self.reqs[req.id] = req
+        self.counts["reqs"] += 1
         self.happen(came)
 
     def _came(self, fields: Dict[str, str]) -> face.ReqCame:
@@ -268,32 +165,29 @@
             raise ValueError("field 'trace' names an open req")
         route = clientwire.text_of(fields, "route")
         if route not in self.told.names.vhosts:
-            raise ValueError(f"field 'route' has the unknown name '{route}'")
+            raise ValueError(f"field 'route' has the unknown name '{route[:60]}'")
         vhost = self.told.names.vhosts.index(route)
         patience = int(clientwire.number_of(fields, "patience") * MS)
         return face.ReqCame(
             id=name,
             obj=int(clientwire.digits_of(fields, "entity"), 16),
-            part=int(clientwire.number_of(fields, "part", 0)),
-            group=int(clientwire.number_of(fields, "group", 0)),
+            part=clientwire.count_of(fields, "part"),
+            group=clientwire.count_of(fields, "group"),
             size=clientwire.number_of(fields, "size", 0.0),
-            left=max(0, patience - self.lag),
+            left=max(0, patience - self.lag),  # it may have waited that long before it was read
             vhost=vhost,
             repeat=fields.get("redo") == "1",
             write=self.told.deployment.vhosts[vhost].writes,
         )
 
-    def client_ended(self, client: Client) -> None:
-        for req in client.open.values():
-            self._left(req)
-        client.open.clear()
-
-    def _left(self, req: OpenReq) -> None:
-        self._count("left")
+    def left(self, req: OpenReq) -> None:
+        """Its client has gone: nothing more is owed."""
+        if req.closed:
+            return
         req.closed = True
+        self.counts["left"] += 1
         self.happen(face.Left(req.id))
-        if req.dispatch is None:
-            self.reqs.pop(req.id, None)
+        self._forget(req)
 
     def _finish(self, name: str, code: int, fields: Dict[str, str], body: bytes = b"") -> None:
         """The one final answer of a req that is still open."""
@@ -301,14 +195,71 @@
         if req is None or req.closed:
             return
         req.closed = True
-        self._count(("", "done", "denied", "aborted")[code])
-        client = req.client
-        client.open.pop(req.stream, None)
-        client.link.write(clientwire.answer(req.stream, code, fields, body))
-        if client.ending_at is not None and not client.open:
-            client.link.finish()
-        if req.dispatch is None:
-            del self.reqs[name]
+        end = clientwire.CODES[code]
+        self.counts[end] += 1
+        logger.debug("req {} {} after {} dispatches", name, end, req.dispatches)
+        req.client.answer(req, code, fields, body)
+        self._forget(req)
+
+    def _forget(self, req: OpenReq) -> None:
+        if req.closed and req.out is None:
+            self.reqs.pop(req.id, None)
+
+    # Dispatches
+
+    def _send(self, errand: Errand, command: bytes, until: int) -> None:
+        errand.carrier = errand.node.link_for(errand.name, self)
+        errand.carrier.open[errand.name] = errand
+        errand.frame = errand.carrier.link.write((command,))
+        self._at(until, errand)
+
+    def end(self, errand: Errand, ending: Ending, answer: Optional[nodewire.Answer] = None) -> None:
+        """The one end of a dispatch or a probe."""
+        if errand.over:
+            return
+        errand.over = True
+        now = self.clock.now()
+        if errand.carrier is not None:
+            errand.carrier.open.pop(errand.name, None)
+            errand.carrier.idle_at = now
+        took, node, note, load = now - errand.sent_at, errand.node.id, 0, None
+        if answer is not None:
+            note = answer.note
+            load = load_report(answer.load, self.told.deployment) if answer.load else None
+        if not isinstance(errand, Dispatch):
+            return self.happen(face.Probed(node, RESULTS[ending], took, load))
+        req = errand.req
+        if ending is Ending.SAME and "have" not in req.fields:
+            ending = Ending.ERRED  # there is no copy that could be the same
+        self.counts[ending.name] += 1
+        req.out = None
+        if ending is Ending.SERVED and answer is not None:
+            self._finish(req.id, clientwire.DONE, {}, answer.body)
+        elif ending is Ending.SAME:
+            self._finish(req.id, clientwire.DONE, {"same": "1"})
+        self._forget(req)
+        result = RESULTS[ending]
+        self.happen(face.Outcome(req.id, errand.number, node, result, took, req.closed, note, 0, load))
+
+    def _give_up(self, errand: Errand, ending: Ending) -> None:
+        """Ends what has no answer: what was not begun is never sent, and the node is told of the rest."""
+        if errand.over:
+            return
+        if errand.taken_back():
+            ending = Ending.UNWRITTEN
+        elif isinstance(errand, Dispatch) and errand.carrier is not None:
+            errand.carrier.give_up(errand)
+            if ending is Ending.TIMED_OUT and errand.carrier.link.heard_at * SECOND < errand.sent_at:
+                # guards against connections that are dead and silent: a new one shows whether the node lives
+                errand.carrier.stale = True
+        self.end(errand, ending)
+
+    def _take_back(self, wrong: Callable[[Dispatch], bool]) -> None:
+        """Guards drains and purges, which count a send from its first byte: dispatches that were waiting for
+        a connection when the news came are never sent."""
+        for req in list(self.reqs.values()):
+            if req.out is not None and wrong(req.out) and req.out.taken_back():
+                self.end(req.out, Ending.UNWRITTEN)
 
     # Actions
 
@@ -316,107 +267,41 @@
         self._dispatch(act.id, act.node, act.until, None, {})
 
     def _fetch(self, act: face.Fetch) -> None:
-        fields = {}
+        how: Dict[str, str] = {}
         if act.source != act.node:
-            fields["parent"] = act.source
+            how["parent"] = act.source
         if act.rank:
-            fields["shelf"] = str(act.rank)
+            how["shelf"] = str(act.rank)
         if act.age:
-            fields["accept"] = str(max(1, act.age // MS))
-        hints = [word for word, on in (("join", act.join), ("held", act.held_only), ("renew", act.renew)) if on]
-        if hints:
-            fields["hints"] = "+".join(hints)
-        self._dispatch(act.id, act.node, act.until, self.nodes.get(act.source), fields)
+            how["accept"] = str(max(1, act.age // MS))
+        hints = (("join", act.join), ("held", act.held_only), ("renew", act.renew))
+        text = "+".join(word for word, on in hints if on)
+        if text:
+            how["hints"] = text
+        self._dispatch(act.id, act.node, act.until, self.nodes.get(act.source), how)
 
     def _dispatch(self, name: str, to: str, until: int, source: Optional[Node], how: Dict[str, str]) -> None:
         req, now = self.reqs.get(name), self.clock.now()
         if req is None:
             return
-        node = self.nodes[to]
-        out = req.dispatch = Dispatch(req, node, source, now)
+        out = req.out = Dispatch(req, self.nodes[to], source, now)
         req.dispatches += 1
-        self._count("dispatches")
-        if req.closed or until <= now or node.state != "ready":
+        self.counts["dispatches"] += 1
+        if req.closed or until <= now:
             return self.end(out, Ending.UNWRITTEN)
-        came = req.fields
-        fields = {"kind": came["route"], "obj": came["entity"]}
-        if "part" in came:
-            fields["seg"] = came["part"]
-        fields["ms"] = str(max(1, -(-(until - now) // MS)))
+        fields = {"kind": req.fields["route"], "obj": req.fields["entity"]}
+        if "part" in req.fields:
+            fields["seg"] = req.fields["part"]
+        fields["ms"] = str(-(-(until - now) // MS))
         fields.update(how)
-        if came.get("have", "").isalnum():
-            fields["got"] = came["have"]
-        self._send(out, req.id, nodewire.want(req.id, fields, req.body))
-        self._at(until, out)
-
-    def _send(self, out: Any, name: str, command: bytes) -> None:
-        """On the node's connection that carries least, or a new one."""
-        node, best = out.node, None
-        for each in node.links:
-            if not each.stale and len(each.open) < self.told.transport.streams and name not in each.spent:
-                if best is None or (each.link.is_up, -len(each.open)) > (best.link.is_up, -len(best.open)):
-                    best = each
-        if best is None:
-            best = NodeLink(self, node)
-            node.links.append(best)
-            best.link = self.driver.dial(best, node.address, self.told.transport.dial / SECOND)
-        out.link = best
-        out.frame = best.link.write((command,))
-        best.open[name] = out
-
-    def end(self, out: Any, ending: Ending, answer: Optional[nodewire.Answer] = None) -> None:
-        """The one end of a dispatch or a probe."""
-        if out.over:
-            return
-        out.over = True
-        now = self.clock.now()
-        took, load = now - out.sent_at, None
-        if answer is not None and answer.load:
-            load = load_report(answer.load, self.told.deployment)
-        name = out.tag if type(out) is Probing else out.req.id
-        if out.link is not None:
-            out.link.open.pop(name, None)
-            out.link.idle_at = now
-        self._count(ending.name)
-        if type(out) is Probing:
-            return self.happen(face.Probed(out.node.id, RESULTS[ending], took, load))
-        req = out.req
-        if ending in (Ending.SERVED, Ending.SAME):
-            same = ending is Ending.SAME
-            self._finish(
-                req.id, clientwire.DONE, {"same": "1"} if same else {}, b"" if same else answer.body
-            )
-        req.dispatch = None
-        if req.closed:
-            self.reqs.pop(req.id, None)
-        note = answer.note if answer is not None else 0
-        self.happen(
-            face.Outcome(
-                req.id, out.number, out.node.id, RESULTS[ending], took, req.closed, note, 0, load
-            )
-        )
-
-    def _give_up(self, out: Any, ending: Ending) -> None:
-        """Ends what has no answer: what was not begun is taken back, the node is told of the rest."""
-        if out.over:
-            return
-        carrier = out.link
-        if carrier.link.drop(out.frame):
-            if ending is Ending.TIMED_OUT:
-                ending = Ending.UNWRITTEN if carrier.link.is_up else Ending.NEVER_UP
-            elif ending is Ending.CALLED_OFF:
-                ending = Ending.UNWRITTEN
-        elif type(out) is Dispatch:
-            carrier.link.write((nodewire.never_mind(out.req.id),))
-            carrier.spent.add(out.req.id)
-            if ending is Ending.TIMED_OUT and carrier.link.heard_at * SECOND < out.sent_at:
-                carrier.stale = True  # it may be dead and silent: a new one shows whether the node lives
-        self.end(out, ending)
+        if req.fields.get("have", "").isalnum():
+            fields["got"] = req.fields["have"]
+        self._send(out, nodewire.want(name, fields, req.body), until)
 
     def _call_off(self, act: face.CallOff) -> None:
         req = self.reqs.get(act.id)
-        if req is not None and req.dispatch is not None and req.dispatch.number == act.number:
-            self._give_up(req.dispatch, Ending.CALLED_OFF)
+        if req is not None and req.out is not None and req.out.number == act.number:
+            self._give_up(req.out, Ending.CALLED_OFF)
 
     def _deny(self, act: face.Deny) -> None:
         pause = act.backoff // MS
@@ -429,13 +314,12 @@
         self._at(self.clock.now() + act.after, act.token)
 
     def _nothing(self, act: Any) -> None:
-        """The coordinator's feed is always followed."""
+        """The coordinator's feed is always followed, and holds all changes."""
 
     def _probe(self, act: face.Probe) -> None:
-        self.tags += 1
-        out = Probing(self.nodes[act.node], self.clock.now(), f"probe-{self.tags}")
-        self._send(out, out.tag, nodewire.busy(out.tag))
-        self._at(out.sent_at + self.told.transport.dial, out)
+        self.probes += 1
+        probe = Errand(f"probe-{self.probes}", self.nodes[act.node], self.clock.now())
+        self._send(probe, nodewire.busy(probe.name), probe.sent_at + self.told.transport.dial)
 
     def _say(self, act: face.Say) -> None:
         to = self.told.peers_all if act.peer is None else self.told.peers[act.peer]
@@ -448,142 +332,145 @@
     def _log(self, act: face.Log) -> None:
         logger.info("module: {}", act.text)
 
-    # The coordinator
+    # The coordinator's news
 
     def learn(self, news: Any) -> None:
-        if type(news) is feed.Alive or news.number <= self.number:
-            return
-        self.number = news.number
-        if type(news) is PurgeNews:
-            self.happen(face.Purged(news.obj, news.group, self.clock.unix_age(news.unix_ms)))
+        """An event of the coordinator; those that are known already are passed over."""
+        if isinstance(news, PurgeNews) and news.number > self.number:
+            self.number = news.number
+            self.happen(face.Purged(news.obj, news.group, max(0, self.clock.unix_age(news.unix_ms))))
+            if news.obj is None:
+                self._take_back(lambda out: out.req.came.group == news.group)
+            else:
+                self._take_back(lambda out: out.req.came.obj == news.obj)
+        elif isinstance(news, ListNews) and news.number > self.number:
+            self.number = news.number
+            rows = self._learn_nodes(news)
+            self.happen(face.Listed(news.whole, rows))
             self._take_back(
-                lambda out: out.req.key == news.obj if news.obj is not None else out.req.group == news.group
+                lambda out: (
+                    out.node.state != "ready" or out.source is not None and out.source.state != "ready"
+                )
             )
-            return
+
+    def _learn_nodes(self, news: ListNews) -> Tuple[face.NodeRow, ...]:
         rows = []
-        for listing in news.listings:
-            row = listing.row
-            started = self.clock.from_unix(listing.started_unix) if listing.started_unix else 0
-            rows.append(row._replace(started=started))
+        for row, address, started_unix in news.listings:
             node = self.nodes.get(row.id)
             if node is None:
-                node = self.nodes[row.id] = Node(row.id, listing.address)
-            elif node.address != listing.address or listing.started_unix > node.started_unix:
-                self._retire(node)
-            node.address, node.state = listing.address, row.state
-            node.started_unix = max(node.started_unix, listing.started_unix)
-            if row.state != "ready":
+                node = self.nodes[row.id] = Node(row.id, address)
+            elif node.address != address or started_unix > node.started_unix:
+                node.retire()  # another process listens there now
+            if row.state != node.state:
                 logger.info("node {} is {}", row.id, row.state)
-        if news.whole:
-            here = {row.id for row in rows}
-            for node in self.nodes.values():
-                if node.id not in here:
-                    node.state = "gone"
+            node.address, node.state = address, row.state
+            node.started_unix = max(node.started_unix, started_unix)
+            rows.append(row._replace(started=self.clock.from_unix(started_unix) if started_unix else 0))
+        here = {row.id for row in rows}
         for node in self.nodes.values():
+            if news.whole and node.id not in here:
+                node.state = "gone"
             if node.state == "gone":
-                self._retire(node)
-        self.happen(face.Listed(news.whole, tuple(rows)))
-        self._take_back(
-            lambda out: out.node.state != "ready" or out.source is not None and out.source.state != "ready"
-        )
-
-    def _take_back(self, wrong: Callable[[Dispatch], bool]) -> None:
-        """Dispatches not begun to be written when news came that they don't know: they are never sent. Guards
-        drains and purges, which count a send from its first byte."""
-        for req in list(self.reqs.values()):
-            out = req.dispatch
-            if out is not None and out.link is not None and wrong(out) and out.link.link.drop(out.frame):
-                self.end(out, Ending.UNWRITTEN)
-
-    def _retire(self, node: Node) -> None:
-        """Its connections take nothing new and end with what is open on them."""
-        for each in list(node.links):
-            each.stale = True
-            if not each.open:
-                each.link.end(Ending.CLOSED)
+                node.retire()
+        return tuple(rows)
 
     # Time
 
-    def _at(self, when: int, what: Any) -> None:
-        self.timer_count += 1
-        heappush(self.timers, (when, self.timer_count, what))
+    def _at(self, when: int, what: Union[str, Errand]) -> None:
+        self.set_timers += 1
+        heappush(self.timers, (when, self.set_timers, what))
         if self.timers[0][2] is what:
             self.earlier.set()
 
     def ring(self) -> None:
-        """Carries out the timers that have come due."""
+        """Carries out the timers that have come due, and drops those at the top that nobody needs."""
         now = self.clock.now()
-        while self.timers and self.timers[0][0] <= now:
-            _, _, what = heappop(self.timers)
+        while self.timers:
+            when, _, what = self.timers[0]
             if isinstance(what, str):
+                if when > now:
+                    return
+                heappop(self.timers)
                 self.happen(face.Rang(what))
             else:
+                if when > now and not what.over:
+                    return
+                heappop(self.timers)
                 self._give_up(what, Ending.TIMED_OUT)
 
-    def sweep(self) -> None:
-        """Lets idle connections to nodes go well before the nodes do, and ends those that linger."""
-        now = self.clock.now()
-        idle = self.told.transport.idle
-        for node in self.nodes.values():
-            for each in list(node.links):
-                if not each.open and (each.stale or idle and now - each.idle_at > idle // 2) and each.link.is_up:
-                    each.link.end(Ending.CLOSED)
-        for client in list(self.clients):
-            if client.link.finishing and now - (client.ending_at or 0) > self.told.transport.dial + LINGER:
-                client.link.end(Ending.CLOSED)
-
     async def keep_time(self) -> None:
         while True:
             self.earlier = anyio.Event()
-            wait = max(0, self.timers[0][0] - self.clock.now()) / SECOND if self.timers else 3600
-            with anyio.move_on_after(wait):
-                await self.earlier.wait()
             self.ring()
             self.driver.flush()
+            wait = self.timers[0][0] - self.clock.now() if self.timers else SECOND
+            with anyio.move_on_after(max(0, self.clock.seconds(wait))):
+                await self.earlier.wait()
+            await (
+                lowlevel.checkpoint()
+            )  # after a pause of the program, answers are read before time-outs count
 
     async def keep_watch(self) -> None:
-        """Measures how late the program runs, and sweeps."""
-        step, turns = 50 * MS, 0
+        """Measures how late the program runs, lets connections go, and writes the counters now and then."""
+        pulses = 0
         while True:
-            due = self.clock.now() + step
-            await anyio.sleep(step / SECOND)
-            late = max(0, self.clock.now() - due)
-            self.lag = max(late, self.lag * 9 // 10)
-            turns += 1
-            if turns % 10 == 0:
+            due = self.clock.now() + PULSE
+            await anyio.sleep(self.clock.seconds(PULSE))
+            self.lag = max(self.clock.now() - due, self.lag * 9 // 10)
+            pulses += 1
+            if pulses % SWEEP == 0:
                 self.sweep()
                 self.driver.flush()
-            if turns % 200 == 0:
-                logger.info("so far: {}; lag {} ms", self.counts, self.lag / MS)
+            if pulses % REPORT == 0:
+                logger.info("{}", self.report())
+
+    def sweep(self) -> None:
+        """Connections to nodes go well before the nodes let them go, so that no req crosses the close."""
+        now = self.clock.now()
+        idle = self.told.transport.idle or now
+        for node in self.nodes.values():
+            node.let_go(now - idle // 2)
+        for client in list(self.clients):
+            client.link.drop_late(self.clock.seconds(now))
+            if client.link.finishing and client.ending_at is not None and now > client.ending_at + LINGER:
+                if not client.link.pending:
+                    client.link.end(Ending.CLOSED)
+
+    def report(self) -> str:
+        counted = ", ".join(f"{name} {count}" for name, count in self.counts.items())
+        state = f"{len(self.reqs)} reqs and {self.driver.open} connections open; lag {self.lag / MS} ms"
+        return f"{counted}; {state}"
 
     async def follow(self) -> None:
         """Keeps a connection to the coordinator."""
+        again = FEED_AGAIN
         while self.told.coordinator is not None:
             receiver = FeedLink(self)
-            link = self.driver.dial(receiver, self.told.coordinator, self.told.transport.dial / SECOND)
+            dialed = self.clock.now()
+            link = self.driver.dial(
+                receiver, self.told.coordinator, self.clock.seconds(self.told.transport.dial)
+            )
             while not receiver.over.is_set():
-                with anyio.move_on_after(1):
+                with anyio.move_on_after(self.clock.seconds(SECOND)):
                     await receiver.over.wait()
-                silence = time.monotonic() - max(link.heard_at, 0)
-                if link.is_up and link.heard_at and silence * SECOND > FEED_SILENCE:
-                    logger.warning("coordinator: silent")
+                if self.clock.now() > max(dialed, int(link.heard_at * SECOND)) + FEED_SILENCE:
                     link.end(Ending.TIMED_OUT)
-            logger.warning("coordinator: connection over, again")
-            await anyio.sleep(FEED_AGAIN)
+            logger.warning("coordinator: connection over, calling again")
+            again = FEED_AGAIN if receiver.heard else min(FEED_AGAIN_MOST, 2 * again)
+            await anyio.sleep(again)
 
-    async def hear_peers(self, sock: Any) -> None:
-        self.peers = sock
-        while True:
+    async def hear_peers(self) -> None:
+        while self.peers is not None:
             try:
-                data, sender = sock.recvfrom(512)
+                data, sender = self.peers.recvfrom(512)
             except BlockingIOError:
-                await anyio.wait_readable(sock)
+                await anyio.wait_readable(self.peers)
                 continue
             except OSError:
+                await lowlevel.checkpoint()
                 continue
-            sender = Address(*sender)
-            if sender in self.told.peers:
-                self.happen(face.PeerSaid(self.told.peers.index(sender), data))
+            if Address(*sender) in self.told.peers:
+                self.happen(face.PeerSaid(self.told.peers.index(Address(*sender)), data))
                 self.driver.flush()
 
     # The end
@@ -595,8 +482,5 @@
             client.link.write(clientwire.no_more())
         self.driver.flush()
 
-    def idle(self) -> bool:
-        return not any(client.open or client.link.pending or client.link.outward.held for client in self.clients)
-
-    def _count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
+    def all_answered(self) -> bool:
+        return not any(each.open or each.link.pending or each.link.outward.held for each in self.clients)
--- a/ironhinge/net/ending.py
+++ b/ironhinge/net/ending.py
@@ -14,6 +14,8 @@
     MISSED = auto()  # no copy that will do: it never ran
     FULL = auto()  # turned away: it never ran
     ERRED = auto()  # an error came: it may have run
+    READY = auto()  # a probe found it well
+    AILING = auto()  # a probe found it unwell
     STALE = auto()  # the node took it for over: it never ran
     REFUSED = auto()  # the connection was refused: nothing ran
     NEVER_UP = auto()  # no connection came up in time: nothing ran
@@ -32,6 +34,8 @@
     Ending.MISSED: "miss",
     Ending.FULL: "full",
     Ending.ERRED: "error",
+    Ending.READY: "done",
+    Ending.AILING: "error",
     Ending.STALE: "unsent",
     Ending.REFUSED: "unconnected",
     Ending.NEVER_UP: "unconnected",
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -1,7 +1,7 @@
 """Owns the sockets: it accepts, connects, reads into rings and writes out of them, on anyio.
 
-It must never read what the bytes mean, know a req, or choose anything. What arrives goes to the receiver of the
-link, and so does the link's one end; no error of a connection leaves its own task.
+It must never read what the bytes mean, know a req, or choose anything. What arrives goes to the receiver of
+the link, and so does the link's one end; no error of a connection leaves its own task.
 """
 
 from __future__ import annotations
@@ -10,78 +10,98 @@
 import socket
 from collections import deque
 from time import monotonic
-from typing import Callable, Deque, List, Optional, Sequence
+from typing import Awaitable, Callable, Deque, Dict, Optional, Protocol, Sequence
 
 import anyio
 from anyio import lowlevel
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from ..facts import Address
+from ..facts import Address, Limits
 from .ending import Ending
 from .ring import Ring
 
 SMALL, LARGE = 8 * 1024, 32 * 1024  # ring sizes: what carries commands and reqs, and what carries bodies
 READS = 8  # reads of one connection before the others have their turn
 BACKLOG = 1024
-SPARE = 24  # descriptors kept for the listener, the log, the feed and the event loop
+SPARE = 24  # descriptors kept for the listener, the log, the datagrams and the event loop
+ACCEPTING = 0.75  # part of the descriptors in use from which accepting pauses; the rest is for nodes
+QUEUED = 0.25  # part of the memory that what is queued for slow readers may take
+PAUSE = 0.02  # seconds until accepting is tried again without descriptors
 
 
 class Frame:
     """Something to be written, in pieces."""
 
-    __slots__ = ("pieces", "begun", "end")
+    __slots__ = ("pieces", "size", "begun", "end", "mark", "until")
 
-    def __init__(self, pieces: Sequence[bytes]):
+    def __init__(self, pieces: Sequence[bytes], mark: int, until: Optional[float]):
         self.pieces = deque(memoryview(piece) for piece in pieces if piece)
+        self.size = sum(map(len, self.pieces))
         self.begun = False  # some of it may be on its way
         self.end: Optional[int] = None  # where it ends in all that the link has put into its ring
+        self.mark = mark  # what its writer knows it by
+        self.until = until  # nobody wants it after that
 
 
-class Receiver:
-    """What a link tells to whom it belongs."""
+class Receiver(Protocol):
+    """To whom a link belongs."""
 
-    def up(self, link: "Link") -> None: ...
+    def up(self, link: Link) -> None: ...
 
-    def receive(self, link: "Link", data: memoryview) -> None: ...
+    def receive(self, link: Link, data: memoryview) -> None: ...
 
-    def ended(self, link: "Link", ending: Ending) -> None: ...
+    def ended(self, link: Link, ending: Ending) -> None: ...
 
 
 class Link:
     """One connection."""
 
-    def __init__(self, driver: "Driver", receiver: Receiver, inward: int, outward: int):
+    def __init__(self, driver: Driver, receiver: Receiver, inward: int, outward: int):
         self.driver, self.receiver = driver, receiver
         self.sock: Optional[socket.socket] = None
         self.inward, self.outward = Ring(inward), Ring(outward)
         self.pending: Deque[Frame] = deque()
+        self.queued = 0  # bytes of pending frames
         self.put, self.sent = 0, 0  # bytes that went into the ring, and on to the system
-        self.is_up = self.is_over = self.finishing = self.waiting = False
+        self.is_up = self.is_over = self.finishing = False
         self.heard_at = 0.0
+        self.users = 0  # tasks that wait on the socket
         self.scope = anyio.CancelScope()
+        self.writing: Optional[anyio.CancelScope] = None  # while the system takes no more
 
-    def write(self, pieces: Sequence[bytes]) -> Frame:
+    def write(self, pieces: Sequence[bytes], mark: int = 0, until: Optional[float] = None) -> Frame:
         """Queues a frame; it goes out with all others when the driver flushes."""
-        frame = Frame(pieces)
+        frame = Frame(pieces, mark, until)
         if not self.is_over:
             self.pending.append(frame)
+            self._queue(frame.size)
             self.driver.dirty[self] = None
         return frame
 
+    def _queue(self, size: int) -> None:
+        self.queued += size
+        self.driver.queued += size
+
     def drop(self, frame: Frame) -> bool:
         """Takes back a frame of which nothing has been written."""
         if frame.begun or frame not in self.pending:
             return False
         self.pending.remove(frame)
+        self._queue(-frame.size)
         return True
 
+    def drop_late(self, now: float) -> None:
+        """Takes back what nobody wants any more. Guards memory against clients that don't read."""
+        for frame in [each for each in self.pending if each.until is not None and each.until < now]:
+            self.drop(frame)
+
     def written(self, frame: Frame) -> bool:
         return frame.end is not None and self.sent >= frame.end
 
     def pump(self) -> None:
         """Writes what the system takes now; the rest waits for it in a task of its own."""
-        if self.sock is None or self.waiting or self.is_over:
+        if self.sock is None or not self.is_up or self.is_over or self.writing is not None:
             return
         try:
             while True:
@@ -92,73 +112,80 @@
                 count = self.sock.send(data)
                 self.outward.taken(count)
                 self.sent += count
+            if self.finishing:
+                self.sock.shutdown(socket.SHUT_WR)
         except BlockingIOError:
-            self.waiting = True
+            self.writing = anyio.CancelScope()
             self.driver.tasks.start_soon(self._wait_to_write)
         except OSError:
             self.end(Ending.RESET)
-        else:
-            if self.finishing:
-                self._say_no_more()
 
     def _fill(self) -> None:
         while self.pending and self.outward.held < self.outward.size:
             frame = self.pending[0]
             frame.begun = True
             while frame.pieces:
-                count = self.outward.put(frame.pieces[0])
+                piece = frame.pieces[0]
+                count = self.outward.put(piece)
                 self.put += count
-                if count < len(frame.pieces[0]):
-                    frame.pieces[0] = frame.pieces[0][count:]
+                if count < len(piece):
+                    frame.pieces[0] = piece[count:]
                     return
                 frame.pieces.popleft()
             frame.end = self.put
             self.pending.popleft()
+            self._queue(-frame.size)
 
     async def _wait_to_write(self) -> None:
-        with anyio.CancelScope() as scope:
-            self.write_scope = scope
-            if self.sock is not None:
+        async def work() -> None:
+            if self.sock is not None and not self.is_over:
                 await anyio.wait_writable(self.sock)
-        self.waiting = False
+
+        await self.guarded(work, self.writing or self.scope)
+        self.writing = None
         self.pump()
+        self.driver.flush()
 
     def finish(self) -> None:
-        """Ends the connection once all that was queued is written."""
+        """Ends our side of the connection once all that was queued is written."""
         self.finishing = True
         self.driver.dirty[self] = None
 
-    def _say_no_more(self) -> None:
-        try:
-            if self.sock is not None:
-                self.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            self.end(Ending.RESET)
-
     def end(self, ending: Ending) -> None:
         """Ends the connection now and tells its receiver, once."""
         if self.is_over:
             return
         self.is_over = True
         self.scope.cancel()
-        if self.waiting:
-            self.write_scope.cancel()
+        if self.writing is not None:
+            self.writing.cancel()
         if self.sock is not None:
-            self.sock.close()
-            self.sock = None
-            self.driver.open -= 1
+            try:
+                self.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # it is over already
+        self._release()
         self.driver.dirty.pop(self, None)
+        self.driver.links.pop(self, None)
         self.receiver.ended(self, ending)
+        self._queue(-self.queued)
         self.pending.clear()
 
+    def _release(self) -> None:
+        """Closes the socket once no task waits on it: its number may be another's at once."""
+        if self.is_over and not self.users and self.sock is not None:
+            self.sock.close()
+            self.sock = None
+            self.driver.open -= 1
+
     async def read(self) -> None:
         """Reads until the connection ends."""
         ring, reads = self.inward, 0
-        while self.sock is not None:
+        while self.sock is not None and not self.is_over:
+            room = ring.room()
             try:
-                count = self.sock.recv_into(ring.room())
+                count = self.sock.recv_into(room)
             except BlockingIOError:
-                reads = 0
                 await anyio.wait_readable(self.sock)
                 continue
             except OSError:
@@ -167,83 +194,89 @@
                 return self.end(Ending.CLOSED)
             self.heard_at = monotonic()
             ring.filled(count)
-            data = ring.data()
-            self.receiver.receive(self, data)
+            self.receiver.receive(self, ring.data())
             ring.taken(count)
             self.driver.flush()
+            if self.is_over:
+                return
             reads += 1
-            if reads % READS == 0:
+            if count < len(room):  # that was all for now
+                await anyio.wait_readable(self.sock)
+            elif reads % READS == 0:
                 await lowlevel.checkpoint()
 
-    async def guarded(self, work: Callable) -> None:
-        """Runs the link's task: whatever goes wrong in it ends this link alone."""
+    async def guarded(self, work: Callable[[], Awaitable[None]], scope: anyio.CancelScope) -> None:
+        """Runs a task of the link: whatever goes wrong in it ends this link alone."""
+        self.users += 1
         try:
-            with self.scope:
+            with scope:
                 await work()
         except Exception:
             logger.exception("a connection's task failed")
             self.end(Ending.GARBLED)
             self.driver.flush()
+        finally:
+            self.users -= 1
+            self._release()
 
 
 class Driver:
     """All links of the program."""
 
-    def __init__(self, tasks: TaskGroup, sockets: int):
+    def __init__(self, tasks: TaskGroup, limits: Limits):
         self.tasks = tasks
-        self.most = max(SPARE + 2, sockets or 1024) - SPARE
-        self.open = 0
-        self.dirty: dict = {}  # links with something to write, in order
+        self.most = max(2, limits.sockets - SPARE)
+        self.most_queued = int(QUEUED * limits.memory_mb * 2**20)
+        self.open = 0  # sockets
+        self.queued = 0  # bytes of pending frames on all links
+        self.links: Dict[Link, None] = {}
+        self.dirty: Dict[Link, None] = {}  # those with something to write, in order
         self.refusing = False  # whether accepting pauses for want of descriptors
 
     def flush(self) -> None:
         while self.dirty:
-            links: List[Link] = list(self.dirty)
+            links = list(self.dirty)
             self.dirty.clear()
             for link in links:
                 link.pump()
+            if self.queued > self.most_queued:
+                self._relieve()
+
+    def _relieve(self) -> None:
+        """Guards the program's memory against the one reader that holds up most."""
+        worst = max(self.links, key=lambda link: link.queued)
+        logger.warning("a connection with {} bytes unread is ended: memory is short", worst.queued)
+        worst.end(Ending.CLOSED)
 
     def dial(self, receiver: Receiver, address: Address, within: float) -> Link:
+        """A link that comes up later, or ends."""
         link = Link(self, receiver, LARGE, SMALL)
+        self.links[link] = None
 
         async def work() -> None:
             await self._connect(link, address, within)
             self.flush()
             await link.read()
 
-        self.tasks.start_soon(link.guarded, work)
+        self.tasks.start_soon(link.guarded, work, link.scope)
         return link
 
     async def _connect(self, link: Link, address: Address, within: float) -> None:
         if self.open >= self.most:
             return link.end(Ending.UNWRITTEN)
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = link.sock = _new_socket(socket.SOCK_STREAM)
         except OSError:
             return link.end(Ending.UNWRITTEN)
         self.open += 1
-        link.sock = sock
-        sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        try:
-            code = sock.connect_ex(address)
-            if code in (errno.EINPROGRESS, errno.EAGAIN):
-                with anyio.move_on_after(within) as limit:
-                    link.sock = None  # nothing is written before it is up
-                    try:
-                        await anyio.wait_writable(sock)
-                    finally:
-                        link.sock = sock
-                if limit.cancelled_caught:
-                    return link.end(Ending.NEVER_UP)
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        except OSError:
-            code = errno.ECONNREFUSED
-        finally:
-            if link.is_over and link.sock is not None:
-                link.sock.close()
-                link.sock = None
-                self.open -= 1
+        code = sock.connect_ex(address)
+        if code in (errno.EINPROGRESS, errno.EAGAIN):
+            with anyio.move_on_after(within) as limit:
+                await anyio.wait_writable(sock)
+            if limit.cancelled_caught:
+                return link.end(Ending.NEVER_UP)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if link.is_over:
             return
         if code:
@@ -252,12 +285,12 @@
         self.dirty[link] = None
         link.receiver.up(link)
 
-    async def accept(self, listener: socket.socket, receiver: Callable[[], Receiver], most: int) -> None:
-        """Takes connections for ever; without descriptors for them it waits, and they wait in the backlog."""
+    async def accept(self, listener: socket.socket, receiver: Callable[[], Receiver]) -> None:
+        """Takes connections for ever; while descriptors are short they wait in the backlog."""
         while True:
             try:
-                if self.open >= min(most, self.most):
-                    raise OSError(errno.EMFILE, "all descriptors for clients are in use")
+                if self.open >= ACCEPTING * self.most:
+                    raise OSError(errno.EMFILE, f"{self.open} connections are open")
                 sock, _ = listener.accept()
             except BlockingIOError:
                 await anyio.wait_readable(listener)
@@ -266,7 +299,7 @@
                 if not self.refusing and fault.errno in (errno.EMFILE, errno.ENFILE):
                     logger.warning("accepting pauses: {}", fault)
                     self.refusing = True
-                await anyio.sleep(0.02)
+                await anyio.sleep(PAUSE)
                 continue
             if self.refusing:
                 logger.info("accepting again")
@@ -276,22 +309,27 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             link = Link(self, receiver(), SMALL, LARGE)
             link.sock, link.is_up = sock, True
+            self.links[link] = None
             link.receiver.up(link)
             self.flush()
-            self.tasks.start_soon(link.guarded, link.read)
+            self.tasks.start_soon(link.guarded, link.read, link.scope)
+
+
+def _new_socket(kind: socket.SocketKind) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.setblocking(False)
+    return sock
 
 
 def listen(address: Address) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = _new_socket(socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setblocking(False)
     sock.bind(address)
     sock.listen(BACKLOG)
     return sock
 
 
 def datagrams(address: Address) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setblocking(False)
+    sock = _new_socket(socket.SOCK_DGRAM)
     sock.bind(address)
     return sock
--- a/ironhinge/net/nodewire.py
+++ b/ironhinge/net/nodewire.py
@@ -20,8 +20,8 @@
     b"AGAIN": Ending.FULL,
     b"EIO": Ending.ERRED,
     b"STALE": Ending.STALE,
-    b"READY": Ending.SERVED,
-    b"AILING": Ending.ERRED,
+    b"READY": Ending.READY,
+    b"AILING": Ending.AILING,
 }
 NOTES = {letter: place + 1 for place, letter in enumerate("hfojsrblnx")}
 
@@ -67,9 +67,9 @@
 
 
 def _answer(items: List[bytes]) -> Answer:
-    ending = ENDINGS.get(items[1]) if len(items) >= 2 else None
-    if ending is None:
-        raise Unparsable(f"an answer {[item[:20] for item in items[:2]]}")
+    ending = ENDINGS.get(items[1]) if 2 <= len(items) <= 4 else None
+    if ending is None or ending is Ending.SERVED and len(items) < 4:
+        raise Unparsable(f"an answer {[item[:20] for item in items[:2]]} of {len(items)} items")
     note, load = 0, {}
     try:
         name, text = items[0].decode(), items[2].decode() if len(items) > 2 else "-"
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -1,44 +1,60 @@
 """Owns the program's life: start, signals and stop.
 
-It must never touch a req; it starts the director's tasks and ends them.
+It must never touch a req; it starts the director's tasks, keeps them running, and ends them.
 """
 
 from __future__ import annotations
 
 import gc
+import resource
 import signal
+from typing import Any, Awaitable, Callable
 
 import anyio
 from loguru import logger
 
 from ..facts import Assignment
-from .director import Client, Director
+from .director import Director
 from .links import Driver, datagrams, listen
+from .parties import Client
 
-STILL_COMING = 1.0  # seconds after SIGTERM in which connections and reqs on them still come
+STILL_COMING = 1.0  # seconds after SIGTERM in which connections, and reqs on them, still come
+AGAIN = 0.05  # seconds until a task that failed is started again
+
+
+async def _keep(work: Callable[..., Awaitable[None]], *args: Any) -> None:
+    """Runs a task of the program for good: a fault in it is logged and must not end the others."""
+    while True:
+        try:
+            return await work(*args)
+        except Exception:
+            logger.exception("a task of the program failed")
+            await anyio.sleep(AGAIN)
 
 
 async def run(told: Assignment) -> None:
     async with anyio.create_task_group() as tasks:
-        driver = Driver(tasks, told.limits.sockets)
+        driver = Driver(tasks, told.limits)
         director = Director(told, driver)
         director.start()
         listener = listen(told.listen)
         if told.peer_listen is not None:
-            tasks.start_soon(director.hear_peers, datagrams(told.peer_listen))
-        for work in (director.keep_time, director.keep_watch, director.follow):
-            tasks.start_soon(work)
-        tasks.start_soon(driver.accept, listener, lambda: Client(director), driver.most // 2)
+            director.peers = datagrams(told.peer_listen)
+        for work in (director.keep_time, director.keep_watch, director.follow, director.hear_peers):
+            tasks.start_soon(_keep, work)
+        tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director))
         gc.collect()
-        gc.freeze()
-        logger.info("{} serves on {}:{}", told.name, *told.listen)
+        gc.freeze()  # what lives for good is not looked at again
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            logger.info("{} serves on {}:{}", told.name or "director", *told.listen)
             async for _ in signals:
                 break
-        logger.info("leaving with {} reqs open", len(director.reqs))
+        logger.info("leaving: {}", director.report())
         director.leave()
         await anyio.sleep(STILL_COMING)
-        while not director.idle():
-            await anyio.sleep(0.01)
-        logger.info("left: {}", director.counts)
+        with anyio.move_on_after(director.clock.seconds(director.router.longest)):
+            while not director.all_answered():
+                await anyio.sleep(AGAIN)
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+        logger.info("left: {}; at most {} MB", director.report(), peak)
         tasks.cancel_scope.cancel()
--- a/ironhinge/wirehost/codec.py
+++ b/ironhinge/wirehost/codec.py
@@ -24,6 +24,7 @@
     "M": "miss",
 }
 
+
 def happening(event: Fields, lists: Dict[int, Tuple[face.NodeRow, ...]]) -> Optional[face.Happening]:
     """One event in the interface's words; None for an event that the interface does not know."""
     name = event.message
@@ -83,35 +84,37 @@
 
 def message(director: int, act: face.Action) -> Dict[str, Dict[str, Any]]:
     """One action in the wire's words."""
-    kind = type(act)
-    if kind is face.Ask:
+    if isinstance(act, face.Ask):
         name, body = "ISSUE", {"tid": act.id, "node": act.node, "try-until": act.until * UNIT}
-    elif kind is face.Fetch:
+    elif isinstance(act, face.Fetch):
         opts = act.join * 1 + act.held_only * 2 + act.renew * 8
-        name, body = "ANSWER_FROM", {
-            "tid": act.id,
-            "try-until": act.until * UNIT,
-            "opts": opts,
-            "supplier": act.source,
-            "admit": act.rank,
-            "age": act.age * UNIT,
-            "node": act.node,
-        }
-    elif kind is face.Deny:
+        name, body = (
+            "ANSWER_FROM",
+            {
+                "tid": act.id,
+                "try-until": act.until * UNIT,
+                "opts": opts,
+                "supplier": act.source,
+                "admit": act.rank,
+                "age": act.age * UNIT,
+                "node": act.node,
+            },
+        )
+    elif isinstance(act, face.Deny):
         name, body = "DECLINE", {"tid": act.id, "backoff": act.backoff * UNIT}
-    elif kind is face.Abort:
+    elif isinstance(act, face.Abort):
         name, body = "ERROR", {"tid": act.id}
-    elif kind is face.CallOff:
+    elif isinstance(act, face.CallOff):
         name, body = "CALL_OFF", {"tid": act.id, "leg": act.number}
-    elif kind is face.Remind:
+    elif isinstance(act, face.Remind):
         name, body = "REMIND", {"offset": act.after * UNIT, "ref": act.token}
-    elif kind is face.Watch:
+    elif isinstance(act, face.Watch):
         name, body = "WATCH", {"active": act.on}
-    elif kind is face.Snapshot:
+    elif isinstance(act, face.Snapshot):
         name, body = "SNAPSHOT", {}
-    elif kind is face.Probe:
+    elif isinstance(act, face.Probe):
         name, body = "TOUCH", {"node": act.node}
-    elif kind is face.Say:
+    elif isinstance(act, face.Say):
         target: Any = "*" if act.peer is None else act.peer
         name, body = "POST", {"target": target, "bytes": base64.b64encode(act.data).decode("ascii")}
     else:
