A pause of the program counts against what it reads first; director tests with a scripted module

The lag that had been measured stayed for a while after a pause and would have shortened the patience of reqs that had not waited; now only lateness at the time of reading counts. Datagram socket before the start.

--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -14,6 +14,7 @@
 from .facts import Assignment, Malformed, address, assignment
 
 LEVELS = ("debug", "info", "warning", "error")
+LINE = "{time:HH:mm:ss.SSS} {level} {message}"
 
 config_option = click.option(
     "--config", envvar="PROXY_CONFIG", required=True, help="The configuration, a JSON file [PROXY_CONFIG]."
@@ -58,7 +59,7 @@
     from .net.service import run
 
     logger.remove()
-    logger.add(sys.stderr, level=log_level.upper(), format="{time:HH:mm:ss.SSS} {level} {message}")
+    logger.add(sys.stderr, level=log_level.upper(), format=LINE, diagnose=False, backtrace=False)
     told = read(config, name, listen)
     try:
         anyio.run(run, told)
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -92,7 +92,8 @@
         self.queue: Deque[face.Happening] = deque()
         self.stepping = False
         self.leaving = False
-        self.lag = 0  # by how much the program was late, lately
+        self.pulse_due = self.clock.now()  # when the program next shows that it is not late
+        self.lag = 0  # the most that it was late since the last report
         self.timers: List[Tuple[int, int, Union[str, Errand]]] = []
         self.set_timers = 0
         self.earlier = anyio.Event()  # a timer is due earlier than all others
@@ -174,7 +175,7 @@
             part=clientwire.count_of(fields, "part"),
             group=clientwire.count_of(fields, "group"),
             size=clientwire.number_of(fields, "size", 0.0),
-            left=max(0, patience - self.lag),  # it may have waited that long before it was read
+            left=max(0, patience - self.late()),  # it may have waited that long before it was read
             vhost=vhost,
             repeat=fields.get("redo") == "1",
             write=self.told.deployment.vhosts[vhost].writes,
@@ -414,15 +415,20 @@
         """Measures how late the program runs, lets connections go, and writes the counters now and then."""
         pulses = 0
         while True:
-            due = self.clock.now() + PULSE
+            self.pulse_due = self.clock.now() + PULSE
             await anyio.sleep(self.clock.seconds(PULSE))
-            self.lag = max(self.clock.now() - due, self.lag * 9 // 10)
+            self.lag = max(self.lag, self.late())
             pulses += 1
             if pulses % SWEEP == 0:
                 self.sweep()
                 self.driver.flush()
             if pulses % REPORT == 0:
                 logger.info("{}", self.report())
+                self.lag = 0
+
+    def late(self) -> int:
+        """By how much the program is late now: after a pause, what is read first may have waited so long."""
+        return max(0, self.clock.now() - self.pulse_due)
 
     def sweep(self) -> None:
         """Connections to nodes go well before the nodes let them go, so that no req crosses the close."""
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -36,10 +36,10 @@
     async with anyio.create_task_group() as tasks:
         driver = Driver(tasks, told.limits)
         director = Director(told, driver)
-        director.start()
-        listener = listen(told.listen)
         if told.peer_listen is not None:
             director.peers = datagrams(told.peer_listen)
+        director.start()
+        listener = listen(told.listen)
         for work in (director.keep_time, director.keep_watch, director.follow, director.hear_peers):
             tasks.start_soon(_keep, work)
         tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director))
--- /dev/null
+++ b/tests/test_director.py
@@ -0,0 +1,294 @@
+"""The director with a scripted module: what it carries out, and what it tells."""
+
+import socket
+
+import anyio
+import pytest
+
+from ironhinge import interface as face
+from ironhinge.facts import assignment
+from ironhinge.net import clientwire
+from ironhinge.net.director import Clock, Director
+from ironhinge.net.ending import RESULTS, Ending
+from ironhinge.net.links import Driver, datagrams
+from ironhinge.net.parties import Client
+
+from .helpers import PATIENCE, FakeNode, configuration, endpoint, resp
+
+TRACE = "9b1f03aa5c7e2d41"
+
+
+class Scripted:
+    """In the module's place: answers each kind of happening with the next of its scripted actions."""
+
+    def __init__(self, **script):
+        self.script, self.told = {name: list(acts) for name, acts in script.items()}, []
+
+    def step(self, now, what):
+        self.told.append(what)
+        acts = self.script.get(type(what).__name__)
+        return acts.pop(0)(now) if acts else []
+
+    def got(self, kind):
+        return [what for what in self.told if type(what) is kind]
+
+
+class FakeWriter:
+    """In a client's link's place: keeps what is written."""
+
+    def __init__(self):
+        self.pending, self.frames = [], []
+
+    def write(self, pieces, mark=0, until=None):
+        self.frames.append(b"".join(pieces))
+
+    def finish(self):
+        self.frames.append("finish")
+
+
+def came(stream, **fields):
+    values = {"route": "film", "trace": TRACE, "patience": "9000", "entity": "7f3a9c21e0b4d655", **fields}
+    return clientwire.Came(stream, values, b"")
+
+
+def play(script, scene, nodes=None, datagrams=None, **other):
+    """Runs a scene with a director before two nodes; returns what the module was told."""
+    one, two = nodes or (FakeNode(holds_all=True), FakeNode(holds_all=True))
+    rows = [endpoint("s-00000001", one.address), endpoint("s-00000002", two.address)]
+    told = assignment(configuration(rows, **other))
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            director = Director(told, Driver(tasks, told.limits))
+            director.router, director.peers = script, datagrams
+            director.start()
+            for work in (director.keep_time, director.keep_watch, director.hear_peers):
+                tasks.start_soon(work)
+            client = Client(director)
+            client.link = FakeWriter()
+
+            async def until(true):
+                with anyio.fail_after(PATIENCE):
+                    while not true():
+                        await anyio.sleep(0.005)
+
+            await scene(director, client, until)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    return script
+
+
+def ask(node="s-00000001", after=90000):
+    return lambda now: [face.Ask(TRACE, node, now + after)]
+
+
+def fetch(source, after=90000, **other):
+    how = {"rank": 2, "age": 15, "join": True, "renew": True, "held_only": True, **other}
+    return lambda now: [face.Fetch(TRACE, "s-00000001", now + after, source, **how)]
+
+
+def test_a_fault_of_the_module_costs_the_req_not_the_program():
+    script = Scripted(ReqCame=[lambda now: 1 / 0, ask()])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        assert client.link.frames == [b"".join(clientwire.answer(1, 3, {}))] and not director.reqs
+        director.take(client, came(2))
+        director.driver.flush()
+        await until(lambda: len(client.link.frames) == 2)
+
+    play(script, scene)
+
+
+def test_a_req_takes_one_answer_and_late_ends_still_reach_the_module():
+    def twice(now):
+        return [face.Ask(TRACE, "s-00000001", now + 90000), face.Deny(TRACE, 55), face.Abort(TRACE)]
+
+    script = Scripted(ReqCame=[twice])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        await until(lambda: script.got(face.Outcome))
+        assert client.link.frames == [b"".join(clientwire.answer(1, 2, {"pause": "5"}))]
+        assert script.got(face.Outcome)[0].closed and not director.reqs and not client.open
+
+    play(script, scene)
+
+
+def test_every_field_of_a_fetch_is_on_the_wire():
+    node = FakeNode()
+    script = Scripted(ReqCame=[fetch("s-00000002")])
+
+    async def scene(director, client, until):
+        director.take(client, came(1, part="3", have="4be0c1927d55a6f3"))
+        director.driver.flush()
+        await until(lambda: script.got(face.Outcome))
+
+    play(script, scene, (node, FakeNode()))
+    word, name, fields, _ = node.next()
+    assert name == TRACE and 8900 < int(fields.pop("ms")) <= 9000
+    assert fields == {
+        "kind": "film",
+        "obj": "7f3a9c21e0b4d655",
+        "seg": "3",
+        "parent": "s-00000002",
+        "shelf": "2",
+        "accept": "1",
+        "hints": "join+held+renew",
+        "got": "4be0c1927d55a6f3",
+    }
+    (end,) = script.got(face.Outcome)
+    assert (end.result, end.closed, end.note, end.load) == ("done", True, 1, None)
+
+
+def test_load_reports_come_in_the_order_of_the_settings():
+    node = FakeNode(lambda told: resp(told[1], "AGAIN", "gauges=inflight:7;util:0.61", b""))
+    script = Scripted(ReqCame=[ask()])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        await until(lambda: script.got(face.Outcome))
+        assert list(director.reqs) == [TRACE]  # the module has not answered it yet
+
+    play(script, scene, (node, node))
+    (end,) = script.got(face.Outcome)
+    assert (end.result, end.closed, end.load) == ("full", False, (0.61, 7.0))
+
+
+def test_same_for_a_client_without_a_copy_is_no_answer():
+    """Guards against a node that says the client's copy is the one when there is none."""
+    node = FakeNode(lambda told: resp(told[1], "NOMOD", "-", b""))
+    script = Scripted(ReqCame=[ask()])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        await until(lambda: script.got(face.Outcome))
+        assert not client.link.frames
+
+    play(script, scene, (node, node))
+    assert script.got(face.Outcome)[0].result == "error"
+
+
+@pytest.mark.parametrize("news", ["drain", "drain of the source", "purge", "group purge", "other"])
+def test_what_waits_for_a_connection_is_taken_back_by_news(news):
+    """Guards drains and purges: a dispatch that could not be sent yet is not sent later."""
+    script = Scripted(ReqCame=[fetch("s-00000002")])
+
+    async def scene(director, client, until):
+        node = director.nodes["s-00000001"]
+        director.take(client, came(1, group="17"))
+        (waiting,) = node.links  # not up yet: the event loop had no turn
+        if news.startswith("drain"):
+            row = endpoint(
+                "s-00000002" if "source" in news else "s-00000001", "127.0.0.1:9", status="DRAINING"
+            )
+            event = {"index": 2, "endpoints": {"endpoints": [row], "snapshot": False}}
+        elif news == "other":
+            event = {"index": 2, "evict": {"ref": "%016x" % 5, "unix_ms": 5}}
+        else:
+            which = {"ref": "7f3a9c21e0b4d655"} if news == "purge" else {"shard": 17}
+            event = {"index": 2, "evict": {**which, "unix_ms": 5}}
+        told = assignment(configuration([], updates=[event]))
+        director.learn(told.known[1])
+        taken = [end.result for end in script.got(face.Outcome)]
+        assert taken == ([] if news == "other" else ["unsent"]) and bool(waiting.link.pending) is (
+            news == "other"
+        )
+
+    play(script, scene)
+
+
+def test_timers_ring_and_time_outs_end_dispatches_in_order():
+    script = Scripted(
+        Started=[
+            lambda now: [face.Remind(600, "b"), face.Remind(20, "a"), face.Watch(True), face.Snapshot()]
+        ],
+        ReqCame=[ask(after=400)],
+        Outcome=[lambda now: [face.Abort(TRACE)]],
+    )
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        await until(lambda: len(script.got(face.Rang)) == 2)
+        assert client.link.frames == [b"".join(clientwire.answer(1, 3, {}))]
+
+    node = FakeNode(lambda told: None)
+    play(script, scene, (node, node))
+    assert [what.token for what in script.got(face.Rang)] == ["a", "b"]
+    (end,) = script.got(face.Outcome)
+    assert end.result == "timeout" and end.took >= 390 and not end.closed
+    assert node.next("never_mind")[1] == TRACE
+
+
+def test_a_connection_silent_through_a_time_out_takes_nothing_more():
+    """Guards against connections to a machine that has vanished: they stay open and never answer."""
+    script = Scripted(ReqCame=[ask(after=200)], Outcome=[ask(after=200), lambda now: [face.Abort(TRACE)]])
+    node = FakeNode(lambda told: None)
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        await until(lambda: client.link.frames)
+
+    play(script, scene, (node, node))
+    assert node.next()[3] is not node.next()[3]
+
+
+def test_probes_and_datagrams():
+    node = FakeNode(lambda told: resp(told[1], "AILING", "gauges=util:0.5;inflight:2", b""))
+    ours, theirs = datagrams(("127.0.0.1", 0)), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    theirs.bind(("127.0.0.1", 0))
+    theirs.settimeout(PATIENCE)
+    peers = ["127.0.0.1:%d" % each.getsockname()[1] for each in (ours, theirs)]
+    script = Scripted(
+        Listed=[lambda now: [face.Probe("s-00000001"), face.Say(1, b"one"), face.Say(None, b"all")]]
+    )
+
+    async def scene(director, client, until):
+        director.driver.flush()
+        await until(lambda: script.got(face.Probed))
+        assert [theirs.recv(300), theirs.recv(300)] == [b"one", b"all"]
+        theirs.sendto(b"back", ours.getsockname())
+        await until(lambda: script.got(face.PeerSaid))
+
+    play(script, scene, (node, node), ours, peers=peers, peers_all=peers[1])
+    (probed,) = script.got(face.Probed)
+    assert (probed.node, probed.result, probed.load) == ("s-00000001", "error", (0.5, 2.0))
+    assert script.got(face.PeerSaid) == [face.PeerSaid(1, b"back")]
+
+
+def test_a_dispatch_past_its_time_or_after_the_end_is_never_sent():
+    script = Scripted(ReqCame=[lambda now: [face.Ask(TRACE, "s-00000001", now - 1)]])
+    node = FakeNode()
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        client.open.clear()
+        director.left(director.reqs[TRACE])
+        assert not director.reqs
+
+    play(script, scene, (node, node))
+    assert script.got(face.Outcome)[0].result == RESULTS[Ending.UNWRITTEN] and node.commands.empty()
+
+
+def test_a_wait_before_reading_counts_against_the_clients_patience():
+    """Guards against pauses of the program: what it reads first has waited already."""
+    script = Scripted()
+
+    async def scene(director, client, until):
+        director.pulse_due = director.clock.now() - 3000
+        director.take(client, came(1, patience="900"))
+
+    assert 5500 < play(script, scene).got(face.ReqCame)[0].left <= 6000
+
+
+def test_unix_times_become_instants_of_the_module():
+    clock = Clock()
+    ago = int(clock.unix_age(0) // 10) - 2000
+    assert 20_000 <= clock.unix_age(ago) < 30_000
+    assert -30_000 < clock.from_unix(ago) - clock.now() <= -19_999
