--- a/ironhinge/facts.py
+++ b/ironhinge/facts.py
@@ -58,9 +58,31 @@
     def mark(self, name: str) -> bool:
         return self._get(name, (bool,), "true or false", False)
 
-    def rows(self, name: str, absent: Any = ()) -> list:
+    def rows(self, name: str, absent: Any = ()) -> List[Any]:
         return self._get(name, (list,), "an array", absent)
 
+    def several(self, name: str, shape: type, expected: str) -> Tuple[Any, ...]:
+        """A list of which each value has the same shape."""
+        shapes = (int, float) if shape is float else (shape,)
+        found = self.rows(name)
+        if any(
+            not isinstance(each, shapes) or isinstance(each, bool) is not (shape is bool) for each in found
+        ):
+            raise Malformed(f"{self.message}: field '{name}' is not an array of {expected}")
+        return tuple(found)
+
+    def texts(self, name: str) -> Tuple[str, ...]:
+        return self.several(name, str, "texts")
+
+    def numbers(self, name: str) -> Tuple[float, ...]:
+        return self.several(name, float, "numbers")
+
+    def wholes(self, name: str) -> Tuple[int, ...]:
+        return self.several(name, int, "whole numbers")
+
+    def marks(self, name: str) -> Tuple[bool, ...]:
+        return self.several(name, bool, "true and false")
+
     def inner(self, name: str, absent: Any = REQUIRED) -> "Fields":
         return Fields(f"{self.message} {name}", self._get(name, (dict,), "an object", absent))
 
@@ -77,14 +99,7 @@
         return -(-self.whole(name, absent) // UNIT)
 
     def load(self) -> Optional[Tuple[float, ...]]:
-        row = self.values.get("stats")
-        if row is None:
-            return None
-        if not isinstance(row, list) or any(
-            isinstance(x, bool) or not isinstance(x, (int, float)) for x in row
-        ):
-            raise Malformed(f"{self.message}: field 'stats' is not an array of numbers")
-        return tuple(row)
+        return self.numbers("stats") if self.has("stats") else None
 
 
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
@@ -113,7 +128,7 @@
 }
 
 
-def _at(rows: list, place: int, absent: Any) -> Any:
+def _at(rows: Tuple[Any, ...], place: int, absent: Any) -> Any:
     return rows[place] if place < len(rows) else absent
 
 
@@ -121,8 +136,8 @@
     """The settings that come with SPAWN, as facts of the deployment."""
     extra, rules = info.inner("extra", {}), info.inner("rules", {})
     limits, report = info.inner("policy-limits", {}), info.inner("telemetry", {})
-    fresh, grace = extra.rows("class-fresh"), extra.rows("class-grace")
-    writes, aged, parts = extra.rows("class-write"), extra.rows("aged-worth"), extra.rows("segmented")
+    fresh, grace = extra.wholes("class-fresh"), extra.wholes("class-grace")
+    writes, aged, parts = extra.marks("class-write"), extra.numbers("aged-worth"), extra.marks("segmented")
     vhosts = []
     for place, row in enumerate(info.rows("classes", REQUIRED)):
         one = Fields(f"{info.message} classes[{place}]", row)
@@ -137,14 +152,14 @@
                 effect=effect,
                 scope=one.word("dedup-scope", SCOPES, ""),
                 window=one.down("window"),
-                writes=bool(_at(writes, place, False)),
-                fresh=int(_at(fresh, place, 0)) // UNIT,
-                grace=int(_at(grace, place, 0)) // UNIT,
+                writes=_at(writes, place, False),
+                fresh=_at(fresh, place, 0) // UNIT,
+                grace=_at(grace, place, 0) // UNIT,
                 aged_share=_at(aged, place, 1.0),
-                parts=bool(_at(parts, place, False)),
+                parts=_at(parts, place, False),
             )
         )
-    zone, crews = info.whole("zone"), extra.rows("crew-by-zone")
+    zone, crews = info.whole("zone"), extra.wholes("crew-by-zone")
     routers = max(1, info.whole("balancers", 1))
     prices = info.inner("prices", {})
     return face.Deployment(
@@ -152,8 +167,8 @@
         zone=zone,
         routers=routers,
         routers_here=max(1, _at(crews, zone, routers)),
-        hub_of=tuple(extra.rows("attached-to")),
-        inlet=tuple(extra.rows("inlet-kb-per-s")),
+        hub_of=extra.wholes("attached-to"),
+        inlet=extra.numbers("inlet-kb-per-s"),
         parent_kind=extra.whole("second-tier-kind", -1),
         origin_kind=extra.whole("store-kind", -1),
         bypass=extra.mark("bypass-allowed"),
@@ -162,7 +177,7 @@
         notes=extra.word("note-level", NOTES, "off"),
         pace=extra.number("one-flow-kb-per-s"),
         weights=info.word("weight-kind", WEIGHTS, "off"),
-        load_fields=tuple(LOADS.get(name, str(name)) for name in report.rows("fields")),
+        load_fields=tuple(LOADS.get(name, name) for name in report.texts("fields")),
         must_watch=info.word("discovery", DISCOVERY, "automatic"),
         ask_within=rules.down("ask-within"),
         max_dispatches=max(1, limits.whole("max-attempts", 1)),
@@ -213,6 +228,8 @@
 
 
 class Limits(NamedTuple):
+    """What the platform allows; 0 where it is not told."""
+
     memory_mb: int
     sockets: int
 
@@ -231,7 +248,6 @@
     dial: int  # a connection that is not up by then never comes
     idle: int  # nodes close idle connections after this
     streams: int  # dispatches that one connection carries together
-    slot: int  # this director's number among its peers
 
 
 class Listing(NamedTuple):
@@ -342,8 +358,8 @@
             Fields(f"settings classes[{place}]", row).text("name")
             for place, row in enumerate(settings.rows("classes", REQUIRED))
         ),
-        tuple(settings.rows("failure-domains")),
-        tuple(settings.rows("shapes")),
+        settings.texts("failure-domains"),
+        settings.texts("shapes"),
     )
     policy = settings.inner("policy-limits", {})
     known = whole.inner("known", {})
@@ -357,7 +373,7 @@
         seed=_hex(whole.text("seed", "0"), "field 'seed'"),
         limits=Limits(limits.whole("memory_mb"), limits.whole("sockets")),
         peer_listen=optional("peer_listen"),
-        peers=tuple(address(peer, "field 'peers'") for peer in whole.rows("peers")),
+        peers=tuple(address(peer, "field 'peers'") for peer in whole.texts("peers")),
         peers_all=optional("peers_all"),
         coordinator=optional("coordinator"),
         names=names,
@@ -365,7 +381,6 @@
             dial=policy.down("dial-timeout", REQUIRED),
             idle=policy.down("conn-idle"),
             streams=max(1, policy.whole("multiplex", 1)),
-            slot=settings.whole("slot-no"),
         ),
         deployment=deployment(settings),
         known_number=known.whole("index"),
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import errno
+import resource
 import socket
 from collections import deque
+from math import inf
 from time import monotonic
 from typing import Awaitable, Callable, Deque, Dict, Optional, Protocol, Sequence
 
@@ -225,8 +227,9 @@
 
     def __init__(self, tasks: TaskGroup, limits: Limits):
         self.tasks = tasks
-        self.most = max(2, limits.sockets - SPARE)
-        self.most_queued = int(QUEUED * limits.memory_mb * 2**20)
+        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.most = max(SPARE, min(limits.sockets or allowed, allowed) - SPARE)
+        self.most_queued = QUEUED * limits.memory_mb * 2**20 or inf
         self.open = 0  # sockets
         self.queued = 0  # bytes of pending frames on all links
         self.links: Dict[Link, None] = {}
