A time-out is told to the node at once, before what follows it is written

A probe logged each dispatch that was moved after a time-out, with the place of both connections in the order of writing: of some 300 moves the one that broke the rule was the only one where the next dispatch's connection was written before that of never_mind. Time-outs that fall due together cross between two connections, and the flush went connection by connection in the order in which each first had something to write. Ruled out: full rings (nothing was queued), answers that cross (other moves had them). At fault: Driver.flush order with NodeLink.give_up only queueing. never_mind is now written at once; where the node takes nothing, its connection ends before what follows.

--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -246,14 +246,17 @@
         """Ends what has no answer: what was not begun is never sent, and the node is told of the rest."""
         if errand.over:
             return
+        carrier, told = errand.carrier, True
         if errand.taken_back():
             ending = Ending.UNWRITTEN
-        elif isinstance(errand, Dispatch) and errand.carrier is not None:
-            errand.carrier.give_up(errand)
-            if ending is Ending.TIMED_OUT and errand.carrier.link.heard_at * SECOND < errand.sent_at:
+        elif isinstance(errand, Dispatch) and carrier is not None:
+            told = carrier.give_up(errand) or errand.req.closed
+            if ending is Ending.TIMED_OUT and carrier.link.heard_at * SECOND < errand.sent_at:
                 # guards against connections that are dead and silent: a new one shows whether the node lives
-                errand.carrier.stale = True
+                carrier.stale = True
         self.end(errand, ending)
+        if not told and carrier is not None:
+            carrier.link.end(Ending.CLOSED)  # gives up all that is on it, before anything else is written
 
     def _take_back(self, wrong: Callable[[Dispatch], bool]) -> None:
         """Guards drains and purges, which count a send from its first byte: dispatches that were waiting for
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -81,6 +81,12 @@
             self.driver.dirty[self] = None
         return frame
 
+    def write_now(self, pieces: Sequence[bytes]) -> bool:
+        """Writes before anything else that is queued on other links; False if the system does not take it."""
+        self.write(pieces)
+        self.pump()
+        return not self.pending and not self.outward.held
+
     def _queue(self, size: int) -> None:
         self.queued += size
         self.driver.queued += size
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -138,12 +138,14 @@
             logger.warning("node {}: can't read {}", self.node.id, fault)
             link.end(Ending.GARBLED)
 
-    def give_up(self, errand: Dispatch) -> None:
-        """Tells the node that nobody waits for a dispatch that it may have."""
-        self.link.write((nodewire.never_mind(errand.name),))
+    def give_up(self, errand: Dispatch) -> bool:
+        """Tells the node that nobody waits for a dispatch that it may have; False if that is not on its way.
+        Guards against two dispatches of a req out together: the next one may go out on another connection,
+        so this must be written before it and not just queued."""
         self.spent.add(errand.name)
         if len(self.spent) >= self.director.told.transport.streams:
             self.stale = True
+        return self.link.write_now((nodewire.never_mind(errand.name),))
 
     def ended(self, link: Link, ending: Ending) -> None:
         self.node.links.remove(self)
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -1,6 +1,7 @@
 """The director with a scripted module: what it carries out, and what it tells."""
 
 import socket
+import threading
 
 import anyio
 import pytest
@@ -79,8 +80,8 @@
     return script
 
 
-def ask(node="s-00000001", after=90000):
-    return lambda now: [face.Ask(TRACE, node, now + after)]
+def ask(node="s-00000001", after=90000, name=TRACE):
+    return lambda now: [face.Ask(name, node, now + after)]
 
 
 def fetch(source, after=90000, **other):
@@ -239,6 +240,42 @@
     assert node.next()[3] is not node.next()[3]
 
 
+@pytest.mark.parametrize("stuck", [False, True])
+def test_a_dispatch_is_given_up_on_the_wire_before_the_next_one_is_written(stuck):
+    """Guards against two dispatches out together: time-outs that cross between two connections were written
+    connection by connection, so that the second dispatch of one came before the end of its first."""
+    other = TRACE[::-1]
+    script = Scripted(
+        ReqCame=[ask("s-00000001"), ask("s-00000002", name=other)],
+        Outcome=[ask("s-00000002"), ask("s-00000001", name=other)],
+    )
+    reading = threading.Event()  # until then the first node takes one command and reads no further
+    nodes = FakeNode(lambda told: stuck and reading.wait(PATIENCE) and None), FakeNode(lambda told: None)
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.take(client, came(2, trace=other))
+        director.driver.flush()
+        await until(lambda: nodes[0].wanted and nodes[1].wanted)
+        first = director.nodes["s-00000001"].links[0]
+        if stuck:
+            first.link.write_now((b"x" * 2**24,))  # more than the system takes
+        for req in list(director.reqs.values()):
+            director._give_up(req.out, Ending.TIMED_OUT)
+        links = [each.link for node in director.nodes.values() for each in node.links]
+        queued = [bytes(frame.pieces[0]) for link in links for frame in link.pending]
+        assert first.link.is_over is stuck
+        assert any(other.encode() in each for each in queued) and not any(
+            b"never_mind" in each for each in queued
+        )
+
+    play(script, scene, nodes)
+    reading.set()
+    assert [end.result for end in script.got(face.Outcome)][:2] == ["timeout", "timeout"]
+    if not stuck:
+        assert nodes[0].next("never_mind")[1] == TRACE and nodes[1].next("never_mind")[1] == other
+
+
 def test_probes_and_datagrams():
     node = FakeNode(lambda told: resp(told[1], "AILING", "gauges=util:0.5;inflight:2", b""))
     ours, theirs = datagrams(("127.0.0.1", 0)), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
