A parent is asked for as much as its whole weight says that it can send

A probe at each of 1,860 denials told what stood against each node: nine in ten had the parent at its bound with its pace in time, the other parent down, benched or cold, and the origin too slow; 1,705 were at one router, alone in its location with half of the reqs. Ruled out: caches (all fit), the link in (in time in 1,600 of them), lag. At fault: the weight was shared out over the routers, which takes their traffic for equal and all parents for up. The bound is the whole weight now; the seen pace still passes over a parent that is crowded.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -32,7 +32,7 @@
 HIGH, MIDDLE = 32, 96  # entries of a table that rank high; and the next that rank middle
 TABLE = 4096  # entries of a table, and objects remembered as seen
 FILLS_BOUND = 24  # fills under way at a parent, ours, from which the object's next parent is asked; or its
-# weight over the routers if that is more
+# weight, the transfers that it can send at once, if that is more
 LATELY = 0.25  # weight of the newest outcome in a node's share of failures
 BAD, WELL = 0.7, 0.25  # shares of failures above which a node is benched, and below which it is trusted again
 FULL = 0.25  # a node that turned a req away is passed over for this share of the vhost's mean sending time
@@ -361,7 +361,7 @@
         if not self.in_time(req, self.inlet):
             return None
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
-            bound = max(FILLS_BOUND, node.row.weight / self.facts.routers)  # our part of what it can send
+            bound = max(FILLS_BOUND, node.row.weight)
             if node not in req.failed and len(node.out) < bound and self.fit(req, node):
                 return node
         origin = self.origin
