--- a/ironhinge/net/feed.py
+++ b/ironhinge/net/feed.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import socket
 import struct
 from typing import Any, List, NamedTuple, Optional, Tuple
 
@@ -37,7 +36,7 @@
     if state >= len(STATES):
         raise Unparsable(f"a record with state {state}")
     row = face.NodeRow(f"s-{name:08x}", STATES[state], cell, zone, 0, weight / 1000, kind)
-    return Listing(row, Address(socket.inet_ntoa(host), port), started)
+    return Listing(row, Address(".".join(map(str, host)), port), started)
 
 
 def _news(data: bytes) -> Any:
