--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -20,6 +20,7 @@
 from .parties import Client
 
 STILL_COMING = 1.0  # seconds after SIGTERM in which connections, and reqs on them, still come
+COLLECT = 20_000, 20, 20  # ordinary work leaves no cycles, and a pause grows with the module's tables
 AGAIN = 0.05  # seconds until a task that failed is started again
 
 
@@ -52,6 +53,7 @@
         tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director))
         gc.collect()
         gc.freeze()  # what lives for good is not looked at again
+        gc.set_threshold(*COLLECT)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             logger.info("{} serves on {}:{}", told.name or "director", *told.listen)
             async for _ in signals:
