--- a/ironhinge/net/clientwire.py
+++ b/ironhinge/net/clientwire.py
@@ -62,21 +62,20 @@
     fields: Dict[str, str] = {}
     at = 1
     for _ in range(data[0]):
-        sizes = []
-        for width in (1, 2):
-            end = at + width
-            size = int.from_bytes(data[at:end], "big")
-            if end + size > len(data):
-                raise ValueError(f"field {len(fields) + 1} is cut short")
-            sizes.append(data[end : end + size])
-            at = end + size
         try:
-            name, value = sizes[0].decode(), sizes[1].decode()
+            name_end = at + 1 + data[at]
+            end = name_end + 2 + (data[name_end] << 8) + data[name_end + 1]
+            if end > len(data):
+                raise IndexError
+            name, value = data[at + 1 : name_end].decode(), data[name_end + 2 : end].decode()
+        except IndexError:
+            raise ValueError(f"field {len(fields) + 1} is cut short") from None
         except UnicodeDecodeError:
             raise ValueError(f"field {len(fields) + 1} is not text") from None
         if name in fields:
             raise ValueError(f"field '{name}' stands twice")
         fields[name] = value
+        at = end
     return fields, at
 
 
--- a/ironhinge/net/nodewire.py
+++ b/ironhinge/net/nodewire.py
@@ -88,59 +88,65 @@
 class NodeWire:
     """Fed the bytes of one connection in any pieces."""
 
-    __slots__ = ("held", "need", "left", "items", "size")
+    __slots__ = ("pieces", "length", "need", "left", "items", "size")
 
     def __init__(self) -> None:
-        self.held = bytearray()
+        self.pieces: List[bytes] = []  # what came since the last step
+        self.length = 0  # of all pieces
         self.need = 1  # bytes to hold before the next step
         self.left = 0  # items that the answer begun still lacks; 0: none is begun
         self.items: List[bytes] = []
-        self.size: Optional[int] = None  # of the item begun
+        self.size = -1  # of the item begun; -1: its line is not whole
 
     def feed(self, data: memoryview) -> Tuple[List[Answer], Optional[Unparsable]]:
         """The answers that are whole now, and what made the rest unreadable, if anything did."""
+        self.pieces.append(bytes(data))
+        self.length += len(data)
+        if self.length < self.need:
+            return [], None
+        held = self.pieces[0] if len(self.pieces) == 1 else b"".join(self.pieces)
         out: List[Answer] = []
-        self.held += data
-        if len(self.held) < self.need:
-            return out, None
         at, fault = 0, None
         try:
-            while True:
-                if self.size is not None:
-                    end = at + self.size
-                    if len(self.held) < end + 2:
-                        self.need = self.size + 2
-                        break
-                    if self.held[end : end + 2] != b"\r\n":
-                        raise Unparsable("an item of another length")
-                    self.items.append(bytes(memoryview(self.held)[at:end]))
-                    at, self.size = end + 2, None
-                    self.left -= 1
-                    if not self.left:
-                        items, self.items = self.items, []
-                        out.append(_answer(items))
-                    continue
-                end = self.held.find(b"\r\n", at, at + MOST_LINE)
-                if end < 0:
-                    if len(self.held) - at >= MOST_LINE:
-                        raise Unparsable("a line too long")
-                    self.need = len(self.held) - at + 1
-                    break
-                mark, digits = self.held[at : at + 1], bytes(self.held[at + 1 : end])
-                most = MOST_ITEM if self.left else MOST_ITEMS
-                if mark != (b"$" if self.left else b"*") or not digits.isdigit() or int(digits) > most:
-                    raise Unparsable(f"a line {bytes(self.held[at:end])!r}")
-                at = end + 2
-                if self.left:
-                    self.size = int(digits)
-                elif int(digits):
-                    self.left = int(digits)
-                else:
-                    raise Unparsable("an empty answer")
+            at = self._parse(held, out)
         except Unparsable as found:
             fault = found
-        if at == len(self.held):
-            self.held = bytearray()
-        else:
-            del self.held[:at]
+        self.length = len(held) - at
+        self.pieces = [held[at:]] if self.length else []
         return out, fault
+
+    def _parse(self, held: bytes, out: List[Answer]) -> int:
+        """Takes all whole answers; returns where it stopped."""
+        at = 0
+        while True:
+            if self.size >= 0:
+                end = at + self.size
+                if len(held) < end + 2:
+                    self.need = self.size + 2
+                    return at
+                if held[end : end + 2] != b"\r\n":
+                    raise Unparsable("an item of another length")
+                self.items.append(held[at:end])
+                at, self.size = end + 2, -1
+                self.left -= 1
+                if not self.left:
+                    items, self.items = self.items, []
+                    out.append(_answer(items))
+                continue
+            end = held.find(b"\r\n", at, at + MOST_LINE)
+            if end < 0:
+                if len(held) - at >= MOST_LINE:
+                    raise Unparsable("a line too long")
+                self.need = len(held) - at + 1
+                return at
+            mark, most = (b"$", MOST_ITEM) if self.left else (b"*", MOST_ITEMS)
+            number = held[at + 1 : end]
+            if held[at : at + 1] != mark or not number.isdigit() or int(number) > most:
+                raise Unparsable(f"a line {held[at:end]!r}")
+            at = end + 2
+            if self.left:
+                self.size = int(number)
+            elif int(number):
+                self.left = int(number)
+            else:
+                raise Unparsable("an empty answer")
