--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -221,23 +221,23 @@
     def step(self, now: int, what: face.Happening) -> List[face.Action]:
         """The entry point."""
         self.now, self.acts = now, []
-        kind = type(what)
-        if kind is face.ReqCame:
+        if isinstance(what, face.ReqCame):
             self.take(what)
-        elif kind is face.Outcome:
+        elif isinstance(what, face.Outcome):
             self.outcome(what)
-        elif kind is face.Listed:
+        elif isinstance(what, face.Listed):
             self.learn_list(what)
-        elif kind is face.Left:
+        elif isinstance(what, face.Left):
             self.client_left(what.id)
-        elif kind is face.Purged:
+        elif isinstance(what, face.Purged):
             self.purge(what)
-        elif kind is face.Streaming and what.id in self.reqs:
-            self.reqs[what.id].streaming = True
-        elif kind is face.Started and self.facts.must_watch or kind is face.Rang and what.token == "watch":
-            self.acts.append(face.Watch(True))
-        elif kind is face.ListFailed:
+        elif isinstance(what, face.Streaming):
+            if what.id in self.reqs:
+                self.reqs[what.id].streaming = True
+        elif isinstance(what, face.ListFailed):
             self.acts.append(face.Remind(max(1, self.facts.ask_within // 10), "watch"))
+        elif isinstance(what, face.Rang) or isinstance(what, face.Started) and self.facts.must_watch:
+            self.acts.append(face.Watch(True))  # the only timer is the one to watch again
         return self.acts
 
     # The list of nodes
@@ -249,18 +249,18 @@
                 if node.id not in here:
                     node.row = node.row._replace(state="gone")
         for row in listed.rows:
-            node = self.nodes.get(row.id)
-            if node is None:
+            known = self.nodes.get(row.id)
+            if known is None:
                 if self.listed and not listed.whole and not row.started:
                     row = row._replace(started=self.now)  # a newcomer is cold, told when it started or not
                 self.nodes[row.id] = Node(row)
             elif row.state == "gone":
-                node.row = node.row._replace(state="gone")
+                known.row = known.row._replace(state="gone")
             else:
-                if row.started > node.row.started:
-                    node.reset()
-                    node.table = Table()
-                node.row = row._replace(started=max(row.started, node.row.started))
+                if row.started > known.row.started:
+                    known.reset()
+                    known.table = Table()
+                known.row = row._replace(started=max(row.started, known.row.started))
         self.listed = True
         facts, ready = self.facts, [node for node in self.nodes.values() if node.row.state == "ready"]
         self.parents = [node for node in ready if node.row.kind == facts.parent_kind]
@@ -273,8 +273,8 @@
     def purge(self, what: face.Purged) -> None:
         """Guards 'purges kept'. A late notice of an older purge must not loosen a newer one: hence the
         max. Harms only by fills: good copies older than the limit are fetched anew."""
-        whole = what.obj is None
-        book, name = (self.purged_groups, what.group) if whole else (self.purged_objects, what.obj)
+        book = self.purged_groups if what.obj is None else self.purged_objects
+        name = what.group if what.obj is None else what.obj
         at = self.now - what.age + 1
         book[name] = max(book.pop(name, at), at)
         while book:
@@ -377,7 +377,7 @@
         limit = self.age_limit(req)
         behind = node.row.kind in (facts.parent_kind, facts.origin_kind)
         if source is node and (node is self.origin or not behind and not limit):
-            act = face.Ask(req.id, node.id, until)
+            act: face.Action = face.Ask(req.id, node.id, until)
         else:
             if source is node and node in self.parents and self.origin is not None:
                 source = self.origin
@@ -410,15 +410,15 @@
             if each is not None:
                 each.out.pop(req.id, None)
         if result == "done":
-            filled = source is not None and what.note in (2, 3, 4)
+            filler = source if what.note in (2, 3, 4) else None
             self.succeeded(node, req, req.work)
             if not req.size:
                 req.vhost.learn(what.took)
-            if filled:
-                self.succeeded(source, req, req.work)
-            if filled or node.row.zone != self.facts.zone:
+            if filler is not None:
+                self.succeeded(filler, req, req.work)
+            if filler is not None or node.row.zone != self.facts.zone:
                 self.inlet.paced(what.took, req, self.now, self.memory)
-            (source if filled else node).paced(what.took, req, self.now, self.memory)
+            (filler or node).paced(what.took, req, self.now, self.memory)
         elif result == "miss":
             self.succeeded(node, req, 0)
             req.asked.append(node)
@@ -522,7 +522,8 @@
             if req.sent_at < node.answered_at:
                 break
             overdue = self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
-            if overdue and (node is req.node or req.node.answered_at > req.sent_at):
+            asked = req.node
+            if overdue and asked and (node is asked or asked.answered_at > req.sent_at):
                 node.lost_at = self.now
                 return True
         return False
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -369,8 +369,9 @@
             if row.state != node.state:
                 logger.info("node {} is {}", row.id, row.state)
             node.address, node.state = address, row.state
-            node.started_unix = max(node.started_unix, started_unix)
-            rows.append(row._replace(started=self.clock.from_unix(started_unix) if started_unix else 0))
+            if started_unix > node.started_unix:  # once: told again it must not look like another restart
+                node.started_unix, node.started = started_unix, self.clock.from_unix(started_unix)
+            rows.append(row._replace(started=node.started if started_unix else 0))
         here = {row.id for row in rows}
         for node in self.nodes.values():
             if news.whole and node.id not in here:
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -161,7 +161,8 @@
 
     def __init__(self, name: str, address: Address):
         self.id, self.address = name, address
-        self.state, self.started_unix = "ready", 0
+        self.state = "ready"
+        self.started_unix, self.started = 0, 0  # the Unix millisecond told, and the module's instant for it
         self.links: List[NodeLink] = []
 
     def link_for(self, name: str, director: Director) -> NodeLink:
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -329,6 +329,22 @@
     assert 7000 < first <= 7500 and 6000 < second <= 6500  # of 200 ms, and 100 more, the protocol leaves 50
 
 
+def test_a_start_told_again_is_the_same_instant():
+    """Guards against the two clocks drifting: a start that moves on looks like another restart, and a restart
+    makes the module forget what it knew of the node."""
+    script = Scripted()
+
+    async def scene(director, client, until):
+        for index in (2, 3):
+            row = endpoint("s-00000001", "127.0.0.1:9", since_ms=1764576000123)
+            event = {"index": index, "endpoints": {"endpoints": [row], "snapshot": False}}
+            director.learn(assignment(configuration([], updates=[event])).known[1])
+            director.clock.from_unix = lambda unix_ms: 10**12
+
+    _, first, second = (what.rows[0].started for what in play(script, scene).got(face.Listed))
+    assert first == second < 10**12
+
+
 def test_unix_times_become_instants_of_the_module():
     clock = Clock()
     ago = int(clock.unix_age(0) // 10) - 2000
