--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -352,11 +352,7 @@
             self.number = news.number
             rows = self._learn_nodes(news)
             self.happen(face.Listed(news.whole, rows))
-            self._take_back(
-                lambda out: (
-                    out.node.state != "ready" or out.source is not None and out.source.state != "ready"
-                )
-            )
+            self._take_back(Dispatch.is_outdated)
 
     def _learn_nodes(self, news: ListNews) -> Tuple[face.NodeRow, ...]:
         rows = []
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -108,6 +108,12 @@
         super().__init__(req.id, node, sent_at)
         self.req, self.number, self.source = req, req.dispatches, source
 
+    def is_outdated(self) -> bool:
+        """True when the list says by now that it should not go, or not where it was going."""
+        if self.carrier is not None and self.carrier.stale:
+            return True
+        return any(node is not None and node.state != "ready" for node in (self.node, self.source))
+
 
 class NodeLink:
     """One connection to a node."""
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -12,6 +12,7 @@
 from typing import Any, Awaitable, Callable
 
 import anyio
+from anyio.abc import TaskGroup
 from loguru import logger
 
 from ..facts import Assignment
@@ -41,29 +42,40 @@
 
 
 async def _serve(told: Assignment, poll: Poll) -> None:
-    async with anyio.create_task_group() as tasks:
-        driver = Driver(tasks, told.limits, poll)
-        director = Director(told, driver)
-        if told.peer_listen is not None:
-            director.peers = datagrams(told.peer_listen)
-        director.start()
-        listener = listen(told.listen)
-        for work in (director.keep_time, director.keep_watch, director.follow, director.hear_peers):
-            tasks.start_soon(_keep, work)
-        tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director))
-        gc.collect()
-        gc.freeze()  # what lives for good is not looked at again
-        gc.set_threshold(*COLLECT)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            logger.info("{} serves on {}:{}", told.name or "director", *told.listen)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as tasks:
+            director = _start(told, poll, tasks)
             async for _ in signals:
                 break
-        logger.info("leaving: {}", director.report())
-        director.leave()
-        await anyio.sleep(STILL_COMING)
-        with anyio.move_on_after(director.clock.seconds(director.router.longest)):
-            while not director.all_answered():
-                await anyio.sleep(AGAIN)
-        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
-        logger.info("left: {}; at most {} MB", director.report(), peak)
-        tasks.cancel_scope.cancel()
+            await _leave(director)
+            tasks.cancel_scope.cancel()
+
+
+def _start(told: Assignment, poll: Poll, tasks: TaskGroup) -> Director:
+    """What is known goes to the module first; then clients may come."""
+    driver = Driver(tasks, told.limits, poll)
+    director = Director(told, driver)
+    if told.peer_listen is not None:
+        director.peers = datagrams(told.peer_listen)
+    director.start()
+    listener = listen(told.listen)
+    for work in (director.keep_time, director.keep_watch, director.follow, director.hear_peers):
+        tasks.start_soon(_keep, work)
+    tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director))
+    gc.collect()
+    gc.freeze()  # what lives for good is not looked at again
+    gc.set_threshold(*COLLECT)
+    logger.info("{} serves on {}:{}", told.name or "director", *told.listen)
+    return director
+
+
+async def _leave(director: Director) -> None:
+    """Takes and answers what still comes, for as long as the platform says that it does."""
+    logger.info("leaving: {}", director.report())
+    director.leave()
+    await anyio.sleep(STILL_COMING)
+    with anyio.move_on_after(director.clock.seconds(director.router.longest)):
+        while not director.all_answered():
+            await anyio.sleep(AGAIN)
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+    logger.info("left: {}; at most {} MB", director.report(), peak)
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -174,7 +174,7 @@
     assert script.got(face.Outcome)[0].result == "error"
 
 
-@pytest.mark.parametrize("news", ["drain", "drain of the source", "purge", "group purge", "other"])
+@pytest.mark.parametrize("news", ["drain", "drain of the source", "move", "purge", "group purge", "other"])
 def test_what_waits_for_a_connection_is_taken_back_by_news(news):
     """Guards drains and purges: a dispatch that could not be sent yet is not sent later."""
     script = Scripted(ReqCame=[fetch("s-00000002")])
@@ -188,6 +188,8 @@
                 "s-00000002" if "source" in news else "s-00000001", "127.0.0.1:9", status="DRAINING"
             )
             event = {"index": 2, "endpoints": {"endpoints": [row], "snapshot": False}}
+        elif news == "move":
+            event = {"index": 2, "endpoints": {"endpoints": [endpoint("s-00000001", "127.0.0.1:9")]}}
         elif news == "other":
             event = {"index": 2, "evict": {"ref": "%016x" % 5, "unix_ms": 5}}
         else:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -334,5 +334,7 @@
             assert got.returncode == 2 and len(got.stderr.splitlines()) == 1, got.stderr
             assert word in got.stderr and str(path) in got.stderr
     path.write_text(json.dumps(good))
+    got = command("serve", "--config", str(path), "--listen", "192.0.2.1:7001")  # an address that is not ours
+    assert got.returncode == 1 and got.stderr.splitlines()[-1].startswith("ironhinge: 192.0.2.1:7001: ")
     got = command("check", PROXY_CONFIG=str(path))
     assert got.returncode == 0 and "1 node" in got.stdout
