--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -260,7 +260,7 @@
         self.queued = 0  # bytes of pending frames on all links
         self.links: Dict[Link, None] = {}
         self.dirty: Dict[Link, None] = {}  # those with something to write, in order
-        self.refusing = False  # whether accepting pauses for want of descriptors
+        self.short = False  # of descriptors, lately
 
     def flush(self) -> None:
         while self.dirty:
@@ -321,21 +321,22 @@
                 if self.open >= ACCEPTING * self.most:
                     raise OSError(errno.EMFILE, f"{self.open} connections are open")
                 sock, _ = listener.accept()
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except BlockingIOError:
                 await anyio.wait_readable(listener)
                 continue
-            except OSError as fault:
-                if not self.refusing and fault.errno in (errno.EMFILE, errno.ENFILE):
+            except OSError as fault:  # no descriptors, or the client has gone already
+                short = fault.errno in (errno.EMFILE, errno.ENFILE)
+                if short and not self.short:
                     logger.warning("accepting pauses: {}", fault)
-                    self.refusing = True
-                await anyio.sleep(PAUSE)
+                    self.short = True
+                await anyio.sleep(PAUSE if short else 0)
                 continue
-            if self.refusing:
-                logger.info("accepting again")
-                self.refusing = False
+            if self.short and self.open < ACCEPTING * self.most / 2:
+                logger.info("accepting without pauses again")
+                self.short = False
             self.open += 1
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             link = Link(self, receiver(), SMALL, LARGE)
             link.sock, link.is_up = sock, True
             self.links[link] = None
