--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 import time
 from collections import Counter, deque
@@ -448,8 +449,9 @@
 
     def report(self) -> str:
         counted = ", ".join(f"{name} {count}" for name, count in self.counts.items())
-        state = f"{len(self.reqs)} reqs and {self.driver.open} connections open; lag {self.lag / MS} ms"
-        return f"{counted}; {state}"
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+        open_now = f"{len(self.reqs)} reqs and {self.driver.open} connections open"
+        return f"{counted}; {open_now}; lag {self.lag / MS} ms; at most {peak} MB"
 
     async def follow(self) -> None:
         """Keeps a connection to the coordinator."""
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import gc
-import resource
 import signal
 from typing import Any, Awaitable, Callable
 
@@ -77,5 +76,4 @@
     with anyio.move_on_after(director.clock.seconds(director.router.longest)):
         while not director.all_answered():
             await anyio.sleep(AGAIN)
-    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
-    logger.info("left: {}; at most {} MB", director.report(), peak)
+    logger.info("left: {}", director.report())
