Into service: SIGHUP, closing in time, fields checked, idle clients ended, reqs apart

Reload crashed at the first SIGHUP (exit 129, its default). At fault, by reading and by the report's descriptors: service._serve opened no receiver for SIGHUP; links.accept paused at three quarters of the descriptors while no client connection had a time limit (silent and kept ones shut usual ones out); Node.link_for put all dispatches on one connection until 32 were out, so one spoilt answer ended them all, each counted against the node (NodeLink.ended); Director.nodes and Router.nodes kept what was gone; clientwire.number_of took what Python's float takes. Changed: signals wait until they are served, SIGHUP reads the configuration anew and follows the coordinator; at SIGTERM the module is told when all has to be answered; fields are checked for range; a breach aborts what is open on its connection before it reaches a node; silent, half-said and idle clients end in time, the longest idle first when descriptors are short; each dispatch has a connection to itself while the node's share of descriptors allows; an answer that stops within ends its connection; a broken connection is one failure; a connection cut before the command was written benches nobody for sure; the feed is silent after 2 s; gone nodes are forgotten.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -234,6 +234,9 @@
         elif isinstance(what, face.Streaming):
             if what.id in self.reqs:
                 self.reqs[what.id].streaming = True
+        elif isinstance(what, face.Closing):  # guards reqs whose client timeout is longer than our life
+            for req in self.reqs.values():
+                req.left_at = min(req.left_at, self.now + what.left)
         elif isinstance(what, face.ListFailed):
             self.acts.append(face.Remind(max(1, self.facts.ask_within // 10), "watch"))
         elif isinstance(what, face.Rang) or isinstance(what, face.Started) and self.facts.must_watch:
@@ -262,6 +265,8 @@
                     known.table = Table()
                 known.row = row._replace(started=max(row.started, known.row.started))
         self.listed = True
+        # guards the memory against a long day of replacements: an id told again starts from nothing
+        self.nodes = {name: node for name, node in self.nodes.items() if node.row.state != "gone"}
         facts, ready = self.facts, [node for node in self.nodes.values() if node.row.state == "ready"]
         self.parents = [node for node in ready if node.row.kind == facts.parent_kind]
         self.origin = next((node for node in ready if node.row.kind == facts.origin_kind), None)
@@ -486,7 +491,7 @@
                 self.bench(source)
             return culprit
         suspects = [node]
-        if source is not None and not quick and result != "unconnected":
+        if source is not None and not quick and result not in ("unconnected", "cut"):
             suspects.append(source)
             if what.note in (6, 7, 8, 10) or (not what.note and source.bad >= node.bad):
                 culprit = source
--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -33,13 +33,17 @@
 
 
 def read(config: str, name: Optional[str], listen: Optional[str]) -> Assignment:
+    with open(config, encoding="utf-8") as file:
+        told = assignment(json.load(file))
+    if listen:
+        told = told._replace(listen=address(listen, "option 'listen'"))
+    return told._replace(name=name or told.name)
+
+
+def read_or_end(config: str, name: Optional[str], listen: Optional[str]) -> Assignment:
     """The configuration; what is wrong with it ends the program with one line and exit code 2."""
     try:
-        with open(config, encoding="utf-8") as file:
-            told = assignment(json.load(file))
-        if listen:
-            told = told._replace(listen=address(listen, "option 'listen'"))
-        return told._replace(name=name or told.name)
+        return read(config, name, listen)
     except (OSError, ValueError, Malformed) as fault:
         click.echo(f"ironhinge: {config}: {fault}", err=True)
         sys.exit(2)
@@ -54,14 +58,17 @@
 @what_is_told
 @click.option("--log-level", type=click.Choice(LEVELS), default="info", show_default=True)
 def serve(config: str, name: Optional[str], listen: Optional[str], log_level: str) -> None:
-    """Serve clients until SIGTERM, then answer what was taken and end with code 0."""
-    from .net.service import run
+    """Serve clients until SIGTERM, then answer what was taken and end with code 0. At SIGHUP the
+    configuration is read again and the coordinator followed to its new address."""
+    from .net.service import hold_signals, run
+
+    hold_signals()
 
     logger.remove()
     logger.add(sys.stderr, level=log_level.upper(), format=LINE, diagnose=False, backtrace=False)
-    told = read(config, name, listen)
+    told = read_or_end(config, name, listen)
     try:
-        run(told)
+        run(told, lambda: read(config, name, listen))
     except* OSError as faults:  # the address is taken or not ours
         click.echo(f"ironhinge: {told.listen.host}:{told.listen.port}: {faults.exceptions[0]}", err=True)
         sys.exit(1)
@@ -71,7 +78,7 @@
 @what_is_told
 def check(config: str, name: Optional[str], listen: Optional[str]) -> None:
     """Say what is wrong with a configuration, or what it would start."""
-    told = read(config, name, listen)
+    told = read_or_end(config, name, listen)
     nodes = {listing.row.id for news in told.known for listing in getattr(news, "listings", ())}
     click.echo(
         f"{told.name or 'a director'} on {told.listen.host}:{told.listen.port}: "
--- a/ironhinge/interface.py
+++ b/ironhinge/interface.py
@@ -115,7 +115,9 @@
     id: str
     number: int  # which dispatch of the req
     node: str
-    result: str  # 'done', 'error', 'full', 'timeout', 'unconnected', 'reset', 'cancelled', 'unsent', 'miss'
+    # 'done', 'error', 'full', 'timeout', 'unconnected', 'reset', 'cut' (the connection broke before it was
+    # sent: it never ran), 'cancelled', 'unsent', 'miss'
+    result: str
     took: int
     closed: bool  # the req is finished
     note: int
@@ -146,13 +148,19 @@
     load: Optional[Tuple[float, ...]]
 
 
+class Closing(NamedTuple):
+    """The instance ends: each open req needs its final answer within this time."""
+
+    left: int
+
+
 class PeerSaid(NamedTuple):
     sender: int
     data: bytes
 
 
 Happening = Union[
-    Started, Listed, ListFailed, ReqCame, Streaming, Outcome, Left, Purged, Rang, Probed, PeerSaid
+    Started, Listed, ListFailed, ReqCame, Streaming, Outcome, Left, Purged, Rang, Probed, PeerSaid, Closing
 ]
 
 
--- a/ironhinge/net/clientwire.py
+++ b/ironhinge/net/clientwire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import struct
 from typing import Dict, List, NamedTuple, Optional, Tuple, Union
 
@@ -15,6 +16,10 @@
 READY, NOT_READY = 1, 2
 LEAST, MOST = 5, 262_144  # what a frame's length may say
 HEAD = struct.Struct(">IBI")
+HEX = re.compile("[0-9a-fA-F]{16}")
+NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+WHOLE = re.compile("[0-9]{1,9}")
+TAG = re.compile("[0-9A-Za-z]{1,64}")
 
 
 class Came(NamedTuple):
@@ -166,31 +171,33 @@
     return fields[name]
 
 
+def _form(fields: Dict[str, str], name: str, form: "re.Pattern[str]", what: str) -> str:
+    text = text_of(fields, name)
+    if not form.fullmatch(text):
+        raise ValueError(f"field '{name}' is not {what}")
+    return text
+
+
 def number_of(fields: Dict[str, str], name: str, absent: Optional[float] = None) -> float:
-    """A field as a number of 0 or more; ValueError names the field at fault."""
+    """A field as a plain number of 0 or more; ValueError names the field at fault."""
     if name not in fields and absent is not None:
         return absent
-    text = text_of(fields, name)
-    try:
-        value = float(text)
-    except ValueError:
-        value = -1.0
-    if not 0 <= value < 1e12:
-        raise ValueError(f"field '{name}' is not a number")
-    return value
+    return float(_form(fields, name, NUMBER, "a number"))
 
 
-def count_of(fields: Dict[str, str], name: str) -> int:
+def count_of(fields: Dict[str, str], name: str, most: int = 10**9) -> int:
     """A field as a whole number, 0 where it is absent; ValueError names the field at fault."""
-    text = fields.get(name, "0")
-    if not (text.isascii() and text.isdigit() and len(text) < 10):
-        raise ValueError(f"field '{name}' is not a whole number")
-    return int(text)
+    value = int(_form(fields, name, WHOLE, "a whole number")) if name in fields else 0
+    if value > most:
+        raise ValueError(f"field '{name}' is over {most}")
+    return value
 
 
 def digits_of(fields: Dict[str, str], name: str) -> str:
     """A field of 16 hex digits; ValueError names the field at fault."""
-    text = text_of(fields, name)
-    if len(text) != 16 or not all(digit in "0123456789abcdef" for digit in text.lower()):
-        raise ValueError(f"field '{name}' is not 16 hex digits")
-    return text
+    return _form(fields, name, HEX, "16 hex digits")
+
+
+def tag_of(fields: Dict[str, str], name: str) -> str:
+    """A field that holds a copy's tag, empty where it is absent; ValueError names the field at fault."""
+    return _form(fields, name, TAG, "a tag") if name in fields else ""
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -12,7 +12,7 @@
 import time
 from collections import Counter, deque
 from heapq import heappop, heappush
-from typing import Any, Callable, Deque, Dict, List, Optional, Tuple, Union
+from typing import Any, Callable, Deque, Dict, List, Optional, Set, Tuple, Union
 
 import anyio
 from anyio import lowlevel
@@ -29,13 +29,17 @@
 MS = 10  # tenths of a millisecond
 SECOND = 1000 * MS
 PULSE = 50 * MS  # how often lateness is measured
-SWEEP = 10  # pulses between two looks for connections to let go
+SWEEP = 2  # pulses between two looks for connections to let go
 REPORT = 1200  # pulses between two lines of counters
-FEED_SILENCE = 3 * SECOND  # the coordinator writes each second
-FEED_AGAIN, FEED_AGAIN_MOST = 0.05, 1.0  # seconds before the coordinator is called again
+FEED_SILENCE = 2 * SECOND  # the coordinator writes each second; its news count as told 4 s after a stop
+FEED_LOOK = SECOND // 4  # how often that is looked at
+FEED_AGAIN, FEED_AGAIN_MOST = 0.05, 0.4  # seconds before the coordinator is called again; its news count as
+# told 2 s after a break
 SLACK = 50 * MS  # each limit of the protocol is longer by this
 LAG_FADES = 97  # per cent of the lateness seen that is still reckoned with a pulse later
-LINGER = SECOND  # what a client has left unread, or half open, is given up after that
+SETTLED = 150 * MS  # a client's connection is not closed for others' sake before it has waited that long
+GROUPS = 256  # of objects, says the protocol
+LINGER = SECOND  # what a client has left unread is given up after that
 
 
 class Clock:
@@ -49,6 +53,10 @@
     def seconds(span: int) -> float:
         return span / SECOND
 
+    @staticmethod
+    def unix_ms() -> int:
+        return time.time_ns() // 1_000_000
+
     @staticmethod
     def unix_age(unix_ms: int) -> int:
         """Time since a Unix millisecond, rounded down; below 0 for one to come."""
@@ -94,7 +102,8 @@
         self.number = 0  # of the last event of the coordinator
         self.queue: Deque[face.Happening] = deque()
         self.stepping = False
-        self.leaving = False
+        self.leave_at: Optional[int] = None  # by then all is answered
+        self.feed: Optional[FeedLink] = None
         self.lag = 0  # the most that it was late, fading
         self.timers: List[Tuple[int, int, Union[str, Errand]]] = []
         self.set_timers = 0
@@ -102,6 +111,8 @@
         self.peers: Optional[socket.socket] = None
         self.probes = 0
         self.counts: Counter[str] = Counter()
+        self.complained: Set[str] = set()
+        self.links_each = 1  # connections that a node may have
         self.carry_out: Dict[type, Callable[[Any], None]] = {
             face.Ask: self._ask,
             face.Fetch: self._fetch,
@@ -152,11 +163,12 @@
                 raise ValueError(message.text)
             came = self._came(message.fields)
         except ValueError as fault:
-            logger.warning("a req can't be read: {}", fault)
-            self.counts["unreadable"] += 1
+            self.complain("unreadable", f"a req can't be read: {fault}")
             text = str(fault).encode()
             client.link.write(clientwire.answer(message.stream, clientwire.ABORTED, {}, text))
             return
+        if self.leave_at is not None:
+            came = came._replace(left=max(0, min(came.left, self.leave_at - now)))
         req = OpenReq(came, client, message, now)
         client.open[req.stream] = self.reqs[req.id] = req
         self.counts["reqs"] += 1
@@ -170,17 +182,25 @@
         if route not in self.told.names.vhosts:
             raise ValueError(f"field 'route' has the unknown name '{route[:60]}'")
         vhost = self.told.names.vhosts.index(route)
+        facts = self.told.deployment.vhosts[vhost]
         patience = int(clientwire.number_of(fields, "patience") * MS)
+        if patience > facts.timeout + MS:
+            raise ValueError("field 'patience' is over the client timeout")
+        size = clientwire.number_of(fields, "size", 0.0)
+        pace = self.told.deployment.pace
+        if pace and size * SECOND > pace * facts.timeout:  # one such figure would spoil every mean
+            raise ValueError("field 'size' is more than can be sent within the client timeout")
+        clientwire.tag_of(fields, "have")
         return face.ReqCame(
             id=name,
             obj=int(clientwire.digits_of(fields, "entity"), 16),
             part=clientwire.count_of(fields, "part"),
-            group=clientwire.count_of(fields, "group"),
-            size=clientwire.number_of(fields, "size", 0.0),
+            group=clientwire.count_of(fields, "group", GROUPS - 1),
+            size=size,
             left=max(0, patience - self.margin()),
             vhost=vhost,
             repeat=fields.get("redo") == "1",
-            write=self.told.deployment.vhosts[vhost].writes,
+            write=facts.writes,
         )
 
     def left(self, req: OpenReq) -> None:
@@ -192,6 +212,12 @@
         self.happen(face.Left(req.id))
         self._forget(req)
 
+    def abort(self, req: OpenReq) -> None:
+        """Answers a req whose connection has to end; the module learns that nobody waits for it."""
+        if not req.closed:
+            self.left(req)
+            req.client.answer(req, clientwire.ABORTED, {}, b"")
+
     def _finish(self, name: str, code: int, fields: Dict[str, str], body: bytes = b"") -> None:
         """The one final answer of a req that is still open."""
         req = self.reqs.get(name)
@@ -208,9 +234,18 @@
         if req.closed and req.out is None:
             self.reqs.pop(req.id, None)
 
+    def complain(self, kind: str, text: str) -> None:
+        """Guards the log and the CPU against floods: of each kind of complaint one line a minute, and a count
+        with the counters."""
+        self.counts[kind] += 1
+        if kind not in self.complained:
+            self.complained.add(kind)
+            logger.warning("{} (more of it: see '{}' in the counters)", text, kind)
+
     # Dispatches
 
     def _send(self, errand: Errand, command: bytes, until: int) -> None:
+        errand.until = until
         errand.carrier = errand.node.link_for(errand.name, self)
         errand.carrier.open[errand.name] = errand
         errand.frame = errand.carrier.link.write((command,))
@@ -234,6 +269,10 @@
         req = errand.req
         if ending is Ending.SAME and "have" not in req.fields:
             ending = Ending.ERRED  # there is no copy that could be the same
+        if answer is not None and answer.dated and answer.dated < errand.oldest:
+            ending = (
+                Ending.ERRED
+            )  # older than what was asked for: guards purges against a node that forgets them
         self.counts[ending.name] += 1
         req.out = None
         if ending is Ending.SERVED and answer is not None:
@@ -255,7 +294,7 @@
             told = carrier.give_up(errand) or errand.req.closed
             if ending is Ending.TIMED_OUT and carrier.link.heard_at * SECOND < errand.sent_at:
                 # guards against connections that are dead and silent: a new one shows whether the node lives
-                carrier.stale = True
+                told = False
         self.end(errand, ending)
         if not told and carrier is not None:
             carrier.link.end(Ending.CLOSED)  # gives up all that is on it, before anything else is written
@@ -278,19 +317,24 @@
             how["parent"] = act.source
         if act.rank:
             how["shelf"] = str(act.rank)
+        oldest = 0
         if act.age:
             how["accept"] = str(max(1, act.age // MS))
+            oldest = self.clock.unix_ms() - max(1, act.age // MS) - SLACK // MS
         hints = (("join", act.join), ("held", act.held_only), ("renew", act.renew))
         text = "+".join(word for word, on in hints if on)
         if text:
             how["hints"] = text
-        self._dispatch(act.id, act.node, act.until, self.nodes.get(act.source), how)
+        self._dispatch(act.id, act.node, act.until, self.nodes.get(act.source), how, oldest)
 
-    def _dispatch(self, name: str, to: str, until: int, source: Optional[Node], how: Dict[str, str]) -> None:
+    def _dispatch(
+        self, name: str, to: str, until: int, source: Optional[Node], how: Dict[str, str], oldest: int = 0
+    ) -> None:
         req, now = self.reqs.get(name), self.clock.now()
         if req is None:
             return
         out = req.out = Dispatch(req, self.nodes[to], source, now)
+        out.oldest = oldest
         req.dispatches += 1
         self.counts["dispatches"] += 1
         if req.closed or until <= now:
@@ -300,7 +344,7 @@
             fields["seg"] = req.fields["part"]
         fields["ms"] = str(-(-(until - now) // MS))
         fields.update(how)
-        if req.fields.get("have", "").isalnum():
+        if req.fields.get("have"):
             fields["got"] = req.fields["have"]
         self._send(out, nodewire.want(name, fields, req.body), until)
 
@@ -428,6 +472,7 @@
                 self.driver.flush()
             if pulses % REPORT == 0:
                 logger.info("{}", self.report())
+                self.complained.clear()
 
     def margin(self) -> int:
         """Guards against reqs lost while the program is short of CPU: what a req that was just read may have
@@ -439,13 +484,24 @@
         """Connections to nodes go well before the nodes let them go, so that no req crosses the close."""
         now = self.clock.now()
         idle = self.told.transport.idle or now
-        for node in self.nodes.values():
-            node.let_go(now - idle // 2)
+        for node in list(self.nodes.values()):
+            node.look(now, now - idle // 2)
+            if node.state == "gone" and not node.links:
+                del self.nodes[node.id]  # guards the memory on days on which all nodes are replaced
+        self.links_each = self.driver.share_of(sum(bool(node.links) for node in self.nodes.values()))
         for client in list(self.clients):
             client.link.drop_late(self.clock.seconds(now))
-            if client.link.finishing and client.ending_at is not None and now > client.ending_at + LINGER:
-                if not client.link.pending:
-                    client.link.end(Ending.CLOSED)
+            client.look(now)
+
+    def make_room(self) -> None:
+        """Guards the descriptors against clients that hold connections and ask nothing: the ones that have
+        waited longest go first. The protocol allows closing where no req is open."""
+        before = self.clock.now() - SETTLED
+        idle = [client for client in self.clients if client.since < before and client.is_idle()]
+        if idle:
+            idle.sort(key=lambda client: (client.asked, client.since))
+            for client in idle[: 1 + len(idle) // 2]:
+                client.link.end(Ending.CLOSED)
 
     def report(self) -> str:
         counted = ", ".join(f"{name} {count}" for name, count in self.counts.items())
@@ -454,22 +510,44 @@
         return f"{counted}; {open_now}; lag {self.lag / MS} ms; at most {peak} MB"
 
     async def follow(self) -> None:
-        """Keeps a connection to the coordinator."""
+        """Keeps a connection to the coordinator, wherever it is by now."""
         again = FEED_AGAIN
-        while self.told.coordinator is not None:
-            receiver = FeedLink(self)
-            dialed = self.clock.now()
-            link = self.driver.dial(
-                receiver, self.told.coordinator, self.clock.seconds(self.told.transport.dial)
-            )
+        while True:
+            at = self.told.coordinator
+            if at is None:
+                await anyio.sleep(FEED_AGAIN_MOST)
+                continue
+            receiver = self.feed = FeedLink(self)
+            receiver.link = self.driver.dial(receiver, at, self.clock.seconds(self.told.transport.dial))
             while not receiver.over.is_set():
-                with anyio.move_on_after(self.clock.seconds(SECOND)):
+                with anyio.move_on_after(self.clock.seconds(FEED_LOOK)):
                     await receiver.over.wait()
-                if self.clock.now() > max(dialed, int(link.heard_at * SECOND)) + FEED_SILENCE:
-                    link.end(Ending.TIMED_OUT)
-            logger.warning("coordinator: connection over, calling again")
-            again = FEED_AGAIN if receiver.heard else min(FEED_AGAIN_MOST, 2 * again)
-            await anyio.sleep(again)
+                if self.clock.now() > receiver.heard_at + FEED_SILENCE:
+                    receiver.link.end(Ending.TIMED_OUT)
+            if self.told.coordinator == at:
+                logger.warning("coordinator: connection over, calling again")
+                again = FEED_AGAIN if receiver.heard else min(FEED_AGAIN_MOST, 2 * again)
+                await anyio.sleep(again)
+
+    def follow_anew(self, told: Assignment) -> None:
+        """What a new configuration changes while all else lives on: where the coordinator is. It is asked for
+        what follows the last event that we have."""
+        same = (
+            "seed",
+            "known",
+            "known_number",
+            "coordinator",
+        )  # what each file may say anew, and is followed
+        for name in Assignment._fields:
+            if name not in same and getattr(told, name) != getattr(self.told, name):
+                logger.warning("SIGHUP: '{}' has changed, which takes a restart", name)
+        if told.coordinator == self.told.coordinator:
+            return logger.info("SIGHUP: the coordinator is where it was")
+        if told.coordinator is not None:
+            logger.info("SIGHUP: the coordinator is at {}:{} from now on", *told.coordinator)
+        self.told = self.told._replace(coordinator=told.coordinator)
+        if self.feed is not None:
+            self.feed.link.end(Ending.CLOSED)
 
     async def hear_peers(self) -> None:
         while self.peers is not None:
@@ -487,9 +565,13 @@
 
     # The end
 
-    def leave(self) -> None:
-        """Not ready any more: clients are told, and what was taken is answered."""
-        self.leaving = True
+    def leave(self, left: int) -> None:
+        """Not ready any more: clients are told, and what was taken is answered within that time."""
+        self.leave_at = self.clock.now() + left
+        self.happen(face.Closing(left))
+        for req in list(self.reqs.values()):
+            if req.out is not None:
+                self._at(self.leave_at, req.out)
         for client in self.clients:
             client.link.write(clientwire.no_more())
         self.driver.flush()
--- a/ironhinge/net/ending.py
+++ b/ironhinge/net/ending.py
@@ -21,6 +21,10 @@
     NEVER_UP = auto()  # no connection came up in time: nothing ran
     UNWRITTEN = auto()  # ended here before the command was written whole: the node never had it
     CUT = auto()  # the connection broke before the command was written whole: the node never had it
+    BESIDE = (
+        auto()
+    )  # its connection ended over another dispatch: it may have run, and tells nothing of the node
+    STUCK = auto()  # an answer on its connection began and did not go on: it may have run
     RESET = auto()  # the connection was reset after the command was written: it may have run
     CLOSED = auto()  # the connection was closed after the command was written: it may have run
     GARBLED = auto()  # what the node sent can't be read: it may have run
@@ -40,7 +44,9 @@
     Ending.REFUSED: "unconnected",
     Ending.NEVER_UP: "unconnected",
     Ending.UNWRITTEN: "unsent",
-    Ending.CUT: "unconnected",
+    Ending.CUT: "cut",
+    Ending.BESIDE: "cancelled",
+    Ending.STUCK: "reset",
     Ending.RESET: "reset",
     Ending.CLOSED: "reset",
     Ending.GARBLED: "error",
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -28,7 +28,8 @@
 READS = 8  # reads of one connection before the others have their turn
 BACKLOG = 1024
 SPARE = 24  # descriptors kept for the listener, the log, the datagrams and the event loop
-ACCEPTING = 0.75  # part of the descriptors in use from which accepting pauses; the rest is for nodes
+ACCEPTING = 0.6  # part of the descriptors in use from which accepting pauses; the rest is for nodes. Usual
+# clients hold a third at most, says the protocol
 QUEUED = 0.25  # part of the memory that what is queued for slow readers may take
 PAUSE = 0.02  # seconds until accepting is tried again without descriptors
 
@@ -75,6 +76,19 @@
     def ended(self, link: Link, ending: Ending) -> None: ...
 
 
+class Nobody:
+    """To whom a link belongs that is over."""
+
+    def up(self, link: Link) -> None: ...
+
+    def receive(self, link: Link, data: memoryview) -> None: ...
+
+    def ended(self, link: Link, ending: Ending) -> None: ...
+
+
+NOBODY = Nobody()
+
+
 class Link:
     """One connection."""
 
@@ -123,6 +137,13 @@
         for frame in [each for each in self.pending if each.until is not None and each.until < now]:
             self.drop(frame)
 
+    def has_unread(self) -> bool:
+        """True when bytes have come that were not read yet."""
+        try:
+            return self.sock is not None and bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def written(self, frame: Frame) -> bool:
         return frame.end is not None and self.sent >= frame.end
 
@@ -198,6 +219,7 @@
         self._queue(-self.queued)
         self.pending.clear()
         self.inward = self.outward = NO_RING  # gives the memory back without waiting for a collection
+        self.receiver = NOBODY  # nor may a circle wait for one
 
     def _release(self) -> None:
         """Closes the socket once no task waits on it: its number may be another's at once."""
@@ -210,6 +232,8 @@
         """Reads until the connection ends."""
         ring, reads = self.inward, 0
         while self.sock is not None and not self.is_over:
+            if self.finishing:  # guards the CPU against senders without end: nothing more is read
+                await anyio.sleep_forever()
             room = ring.room()
             try:
                 count = self.sock.recv_into(room)
@@ -277,6 +301,10 @@
         logger.warning("a connection with {} bytes unread is ended: memory is short", worst.queued)
         worst.end(Ending.CLOSED)
 
+    def share_of(self, nodes: int) -> int:
+        """Connections that each of so many nodes may have: what clients leave."""
+        return max(1, int((1 - ACCEPTING) * self.most) // max(1, nodes))
+
     def dial(self, receiver: Receiver, address: Address, within: float) -> Link:
         """A link that comes up later, or ends."""
         link = Link(self, receiver, LARGE, SMALL)
@@ -308,16 +336,22 @@
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if link.is_over:
             return
-        if code:
-            return link.end(Ending.NEVER_UP if code == errno.ETIMEDOUT else Ending.REFUSED)
+        if code:  # a reset is no refusal: whoever sent it takes connections
+            resets = errno.ECONNRESET, errno.EPIPE
+            known = {errno.ECONNREFUSED: Ending.REFUSED, **dict.fromkeys(resets, Ending.CUT)}
+            return link.end(known.get(code, Ending.NEVER_UP))
         link.is_up = True
         self.dirty[link] = None
         link.receiver.up(link)
 
-    async def accept(self, listener: socket.socket, receiver: Callable[[], Receiver]) -> None:
+    async def accept(
+        self, listener: socket.socket, receiver: Callable[[], Receiver], make_room: Callable[[], None]
+    ) -> None:
         """Takes connections for ever; while descriptors are short they wait in the backlog."""
         while True:
             try:
+                if self.open >= ACCEPTING * self.most:
+                    make_room()
                 if self.open >= ACCEPTING * self.most:
                     raise OSError(errno.EMFILE, f"{self.open} connections are open")
                 sock, _ = listener.accept()
--- a/ironhinge/net/nodewire.py
+++ b/ironhinge/net/nodewire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Dict, List, NamedTuple, Optional, Tuple
 
 from .ending import Ending
@@ -23,6 +24,7 @@
     b"READY": Ending.READY,
     b"AILING": Ending.AILING,
 }
+FIGURE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 NOTES = {letter: place + 1 for place, letter in enumerate("hfojsrblnx")}
 
 
@@ -31,6 +33,7 @@
     ending: Ending
     note: int
     load: Dict[str, float]
+    dated: int  # the Unix millisecond of the copy; 0: not told
     body: bytes
 
 
@@ -59,10 +62,9 @@
     found = {}
     for part in text.split(";"):
         name, _, value = part.partition(":")
-        try:
-            found[name] = float(value)
-        except ValueError:
-            raise Unparsable(f"the load report '{text[:60]}'") from None
+        if not FIGURE.fullmatch(value):
+            raise Unparsable(f"the load report '{text[:60]}'")
+        found[name] = float(value)
     return found
 
 
@@ -70,7 +72,8 @@
     ending = ENDINGS.get(items[1]) if 2 <= len(items) <= 4 else None
     if ending is None or ending is Ending.SERVED and len(items) < 4:
         raise Unparsable(f"an answer {[item[:20] for item in items[:2]]} of {len(items)} items")
-    note, load = 0, {}
+    note, dated, digest = 0, 0, ""
+    load: Dict[str, float] = {}
     try:
         name, text = items[0].decode(), items[2].decode() if len(items) > 2 else "-"
     except UnicodeDecodeError:
@@ -82,7 +85,13 @@
                 note = NOTES.get(value, 0)
             elif key == "gauges" and value:
                 load = _loads(value)
-    return Answer(name, ending, note, load, items[3] if len(items) > 3 else b"")
+            elif key == "dated" and value.isdigit() and len(value) < 16:
+                dated = int(value)
+            elif key == "digest":
+                digest = value
+    if ending is Ending.SERVED and not (dated and digest):
+        raise Unparsable("bytes without their tag or date")
+    return Answer(name, ending, note, load, dated, items[3] if len(items) > 3 else b"")
 
 
 class NodeWire:
@@ -98,6 +107,10 @@
         self.items: List[bytes] = []
         self.size = -1  # of the item begun; -1: its line is not whole
 
+    def begun(self) -> bool:
+        """True while an answer has begun and is not whole."""
+        return bool(self.length or self.left)
+
     def feed(self, data: memoryview) -> Tuple[List[Answer], Optional[Unparsable]]:
         """The answers that are whole now, and what made the rest unreadable, if anything did."""
         self.pieces.append(bytes(data))
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Dict, List, Optional, Set
+from typing import TYPE_CHECKING, Dict, List, Optional
 
 import anyio
 from loguru import logger
@@ -20,6 +20,13 @@
     from .director import Director, OpenReq
 
 STREAMS = 32  # open reqs that a client's connection carries, says the protocol
+SECOND = 10_000  # tenths of a millisecond
+BEGIN = (
+    15 * SECOND // 10
+)  # a client that has sent no frame, or has not ended one that it began, by then never
+# will: usual ones write at once, and the protocol's users count 3 s until we must have said so
+IDLE = 45 * SECOND // 10  # clients close their idle connections after 4 s
+LINGER = SECOND // 2  # for reading why a connection ends; it is closed then, read or not
 
 
 class Client:
@@ -31,21 +38,32 @@
         self.open: Dict[int, OpenReq] = {}  # by stream
         self.link: Link
         self.ending_at: Optional[int] = None  # when we began to end it
+        self.asked = False  # has sent a frame
+        self.since = (
+            director.clock.now()
+        )  # waiting since then: for its first frame, the rest of one, or the next
 
     def up(self, link: Link) -> None:
         self.link = link
         self.director.clients[self] = None
-        if self.director.leaving:
+        if self.director.leave_at is not None:
             link.write(clientwire.no_more())
 
     def receive(self, link: Link, data: memoryview) -> None:
-        for message in self.wire.feed(data):
+        if self.ending_at is not None:
+            return
+        begun = bool(self.wire.held)
+        messages = self.wire.feed(data)
+        if messages or not begun:
+            self.since = self.director.clock.now()
+        for message in messages:
             if self.ending_at is not None:
                 return
+            self.asked = True
             if isinstance(message, clientwire.Gone):
                 self._gone(message.stream)
             elif isinstance(message, clientwire.ReadyAsked):
-                link.write(clientwire.ready(message.stream, not self.director.leaving))
+                link.write(clientwire.ready(message.stream, self.director.leave_at is None))
             elif isinstance(message, (clientwire.Came, clientwire.Unreadable)):
                 if not message.stream or message.stream in self.open:
                     self._refuse(f"stream {message.stream} can't take a req")
@@ -66,17 +84,36 @@
     def answer(self, req: OpenReq, code: int, fields: Dict[str, str], body: bytes) -> None:
         """The final answer; after the last one a connection that has to end does."""
         self.open.pop(req.stream, None)
+        self.since = self.director.clock.now()
         self.link.write(clientwire.answer(req.stream, code, fields, body), req.stream, req.wanted_until)
-        if self.ending_at is not None and not self.open:
-            self.link.finish()
 
     def _refuse(self, text: str) -> None:
-        """Tells the client what is wrong, and ends the connection once its open reqs are answered."""
-        logger.warning("a client's connection is ended: {}", text)
-        self.link.write(clientwire.error(text))
+        """Tells the client what is wrong, and ends the connection: what is open on it is aborted, since
+        whoever breaks the protocol on a connection can't be trusted with the rest of it. Guards the nodes
+        against crowds of reqs: what came with the breach has not been written to them yet."""
+        self.director.complain("breaches", f"a client's connection is ended: {text}")
         self.ending_at = self.director.clock.now()
-        if not self.open:
-            self.link.finish()
+        for req in list(self.open.values()):
+            self.director.abort(req)
+        self.link.write(clientwire.error(text))
+        self.link.finish()
+
+    def is_idle(self) -> bool:
+        """True when nothing is open, nothing waits to be written, and nothing to be read."""
+        link = self.link
+        return not (self.open or link.pending or link.outward.held or link.has_unread())
+
+    def look(self, now: int) -> None:
+        """Ends the connection if its time is over."""
+        if self.ending_at is not None:
+            if now > self.ending_at + LINGER:
+                self.link.end(Ending.CLOSED)
+        elif self.wire.held:
+            if now > self.since + BEGIN:
+                self._refuse("a frame that does not end")
+        elif self.is_idle() and now > self.since + (IDLE if self.asked else BEGIN):
+            self.director.counts["idle"] += 1
+            self.link.end(Ending.CLOSED)
 
     def ended(self, link: Link, ending: Ending) -> None:
         self.director.clients.pop(self, None)
@@ -88,10 +125,11 @@
 class Errand:
     """What is out at a node: a dispatch of a req, or a probe."""
 
-    __slots__ = ("name", "node", "sent_at", "carrier", "frame", "over")
+    __slots__ = ("name", "node", "sent_at", "until", "carrier", "frame", "over")
 
     def __init__(self, name: str, node: Node, sent_at: int):
         self.name, self.node, self.sent_at = name, node, sent_at  # the name is its id on the wire
+        self.until = sent_at
         self.carrier: Optional[NodeLink] = None
         self.frame: Optional[Frame] = None
         self.over = False
@@ -102,11 +140,12 @@
 
 
 class Dispatch(Errand):
-    __slots__ = ("req", "number", "source")
+    __slots__ = ("req", "number", "source", "oldest")
 
     def __init__(self, req: OpenReq, node: Node, source: Optional[Node], sent_at: int):
         super().__init__(req.id, node, sent_at)
         self.req, self.number, self.source = req, req.dispatches, source
+        self.oldest = 0  # the Unix millisecond of the oldest copy that will do
 
     def is_outdated(self) -> bool:
         """True when the list says by now that it should not go, or not where it was going."""
@@ -122,7 +161,10 @@
         self.director, self.node = director, node
         self.wire = nodewire.NodeWire()
         self.open: Dict[str, Errand] = {}
-        self.spent: Set[str] = set()  # ids given up here: a late answer could pass for a later dispatch's
+        self.spent: Dict[
+            str, int
+        ] = {}  # ids given up here, and when no answer can come any more: until then a
+        # late one could pass for a later dispatch's
         self.stale = False  # takes nothing more
         self.idle_at = 0
         self.link: Link
@@ -141,25 +183,46 @@
                 break
             self.director.end(errand, answer.ending, answer)
         if fault is not None:
-            logger.warning("node {}: can't read {}", self.node.id, fault)
+            self.director.complain("garbled", f"node {self.node.id}: can't read {fault}")
             link.end(Ending.GARBLED)
 
     def give_up(self, errand: Dispatch) -> bool:
         """Tells the node that nobody waits for a dispatch that it may have; False if that is not on its way.
         Guards against two dispatches of a req out together: the next one may go out on another connection,
         so this must be written before it and not just queued."""
-        self.spent.add(errand.name)
-        if len(self.spent) >= self.director.told.transport.streams:
-            self.stale = True
+        self.spent[errand.name] = errand.until + SECOND
         return self.link.write_now((nodewire.never_mind(errand.name),))
 
+    def look(self, now: int, idle_since: int) -> None:
+        """Ends the connection if it is of no use any more."""
+        if not self.link.is_up:
+            return
+        stuck = now - self.director.told.transport.dial
+        if self.wire.begun() and int(self.link.heard_at * SECOND) < stuck:
+            # guards against answers that stop short: what is open here would wait for them in vain
+            self.link.end(Ending.STUCK)
+        elif not self.open and (self.stale or self.idle_at < idle_since):
+            self.link.end(Ending.CLOSED)
+        elif self.spent:
+            for name in [name for name, until in self.spent.items() if until < now]:
+                del self.spent[name]
+
     def ended(self, link: Link, ending: Ending) -> None:
+        """A connection that breaks is one failure, however many dispatches were out on it: the one that
+        waited longest stands for it. Guards the node's name, and the others' next try."""
         self.node.links.remove(self)
-        if ending in (Ending.REFUSED, Ending.NEVER_UP, Ending.RESET):
+        if ending in (Ending.REFUSED, Ending.NEVER_UP):
             logger.info("node {} at {}:{}: connection {}", self.node.id, *self.node.address, ending.name)
+        first = True
         for errand in list(self.open.values()):
-            had_it = not link.is_up or errand.frame is not None and link.written(errand.frame)
-            self.director.end(errand, ending if had_it else Ending.CUT)
+            if link.is_up or ending is Ending.CUT:
+                had_it = errand.frame is not None and link.written(errand.frame)
+                one = ending if had_it else Ending.CUT
+                two = Ending.BESIDE if had_it else Ending.UNWRITTEN
+                self.director.end(errand, one if first else two)
+                first = False
+            else:
+                self.director.end(errand, ending)
 
 
 class Node:
@@ -172,11 +235,16 @@
         self.links: List[NodeLink] = []
 
     def link_for(self, name: str, director: Director) -> NodeLink:
-        """The connection that carries least, one that is up before one that is not yet; or a new one."""
+        """A connection that carries nothing, the one used last; else a new one while the node's share of
+        descriptors allows it; else the one that carries least. Guards what is out against answers that spoil
+        their connection: it takes down the fewer."""
         most = director.told.transport.streams
         free = [each for each in self.links if len(each.open) < most and not each.stale]
         free = [each for each in free if name not in each.spent]
-        if free:
+        idle = [each for each in free if not each.open and each.link.is_up]
+        if idle:
+            return max(idle, key=lambda each: each.idle_at)
+        if free and len(self.links) >= director.links_each:
             return min(free, key=lambda each: (not each.link.is_up, len(each.open)))
         new = NodeLink(director, self)
         self.links.append(new)
@@ -192,11 +260,9 @@
             if not each.open:
                 each.link.end(Ending.CLOSED)
 
-    def let_go(self, idle_since: int) -> None:
-        """Ends connections that are not used any more."""
+    def look(self, now: int, idle_since: int) -> None:
         for each in list(self.links):
-            if not each.open and each.link.is_up and (each.stale or each.idle_at < idle_since):
-                each.link.end(Ending.CLOSED)
+            each.look(now, idle_since)
 
 
 class FeedLink:
@@ -207,6 +273,8 @@
         self.wire = feed.FeedWire()
         self.over = anyio.Event()
         self.heard = False
+        self.heard_at = director.clock.now()  # a whole frame, or the call
+        self.link: Link
 
     def up(self, link: Link) -> None:
         link.write((feed.hello(self.director.number),))
@@ -214,7 +282,7 @@
     def receive(self, link: Link, data: memoryview) -> None:
         news, fault = self.wire.feed(data)
         for one in news:
-            self.heard = True
+            self.heard, self.heard_at = True, self.director.clock.now()
             self.director.learn(one)
         if fault is not None:
             logger.warning("coordinator: can't read {}", fault)
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -8,20 +8,24 @@
 import asyncio
 import gc
 import signal
-from typing import Any, Awaitable, Callable
+from typing import Any, AsyncIterator, Awaitable, Callable, Optional
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from ..facts import Assignment
-from .director import Director
+from ..facts import Assignment, Malformed
+from .director import MS, SECOND, Director
 from .links import Driver, Poll, datagrams, listen
 from .parties import Client
 
 STILL_COMING = 1.0  # seconds after SIGTERM in which connections, and reqs on them, still come
 COLLECT = 20_000, 20, 20  # ordinary work leaves no cycles, and a pause grows with the module's tables
+CLOSE = 3 * SECOND + 700 * MS  # SIGKILL may come that long after SIGTERM; sooner if the longest client
+# timeout is under 3 s
+WRITE_OUT = 200 * MS  # kept of that for writing the last answers
 AGAIN = 0.05  # seconds until a task that failed is started again
+HEARD = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
 
 
 async def _keep(work: Callable[..., Awaitable[None]], *args: Any) -> None:
@@ -34,22 +38,44 @@
             await anyio.sleep(AGAIN)
 
 
-def run(told: Assignment) -> None:
-    """Serves until SIGTERM."""
+def hold_signals() -> None:
+    """From here on signals wait until they are served: one that comes early must neither end the program nor
+    be missed."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
+
+
+def run(told: Assignment, read_again: Callable[[], Assignment]) -> None:
+    """Serves until SIGTERM; at SIGHUP the configuration is read again."""
     poll = Poll()
-    anyio.run(_serve, told, poll, backend_options={"loop_factory": lambda: asyncio.SelectorEventLoop(poll)})
+    options = {"loop_factory": lambda: asyncio.SelectorEventLoop(poll)}
+    anyio.run(_serve, told, read_again, poll, backend_options=options)
 
 
-async def _serve(told: Assignment, poll: Poll) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+async def _serve(told: Assignment, read_again: Callable[[], Assignment], poll: Poll) -> None:
+    with anyio.open_signal_receiver(*HEARD) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
         async with anyio.create_task_group() as tasks:
             director = _start(told, poll, tasks)
-            async for _ in signals:
-                break
+            await _until_told_to_leave(signals, director, read_again)
+            tasks.start_soon(_until_told_to_leave, signals, None, read_again)  # none may end it any more
             await _leave(director)
             tasks.cancel_scope.cancel()
 
 
+async def _until_told_to_leave(
+    signals: AsyncIterator[signal.Signals], director: Optional[Director], read_again: Callable[[], Assignment]
+) -> None:
+    async for number in signals:
+        if director is None:
+            continue
+        if number != signal.SIGHUP:
+            return
+        try:
+            director.follow_anew(read_again())
+        except (OSError, ValueError, Malformed) as fault:
+            logger.error("SIGHUP: {}; the old configuration holds", fault)
+
+
 def _start(told: Assignment, poll: Poll, tasks: TaskGroup) -> Director:
     """What is known goes to the module first; then clients may come."""
     driver = Driver(tasks, told.limits, poll)
@@ -60,7 +86,7 @@
     listener = listen(told.listen)
     for work in (director.keep_time, director.keep_watch, director.follow, director.hear_peers):
         tasks.start_soon(_keep, work)
-    tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director))
+    tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director), director.make_room)
     gc.collect()
     gc.freeze()  # what lives for good is not looked at again
     gc.set_threshold(*COLLECT)
@@ -69,11 +95,13 @@
 
 
 async def _leave(director: Director) -> None:
-    """Takes and answers what still comes, for as long as the platform says that it does."""
+    """Takes and answers what still comes, for as long as the platform says that it does, and all before it
+    may end the program by force."""
     logger.info("leaving: {}", director.report())
-    director.leave()
+    left = min(director.router.longest + CLOSE - 3 * SECOND, CLOSE) - WRITE_OUT
+    director.leave(left)
     await anyio.sleep(STILL_COMING)
-    with anyio.move_on_after(director.clock.seconds(director.router.longest)):
+    with anyio.move_on_after(director.clock.seconds(left + WRITE_OUT) - STILL_COMING):
         while not director.all_answered():
             await anyio.sleep(AGAIN)
     logger.info("left: {}", director.report())
