No more idle connections are closed for new ones than needed, longest idle first

Changed: as many are closed as the new ones need, the longest idle first, those that asked something only after a second of peace unless nothing else is left; accepting pauses at three quarters again; a crowd of new connections leaves turns to the others.

--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -37,7 +37,8 @@
 # told 2 s after a break
 SLACK = 50 * MS  # each limit of the protocol is longer by this
 LAG_FADES = 97  # per cent of the lateness seen that is still reckoned with a pulse later
-SETTLED = 150 * MS  # a client's connection is not closed for others' sake before it has waited that long
+SETTLED = 150 * MS  # a client's connection is not closed for others' sake before it has waited that long; and
+AT_PEACE = SECOND  # one on which something was asked not before that, while there is any room at all
 GROUPS = 256  # of objects, says the protocol
 LINGER = SECOND  # what a client has left unread is given up after that
 
@@ -493,15 +494,18 @@
             client.link.drop_late(self.clock.seconds(now))
             client.look(now)
 
-    def make_room(self) -> None:
+    def make_room(self, count: int, pressing: bool) -> None:
         """Guards the descriptors against clients that hold connections and ask nothing: the ones that have
-        waited longest go first. The protocol allows closing where no req is open."""
-        before = self.clock.now() - SETTLED
-        idle = [client for client in self.clients if client.since < before and client.is_idle()]
-        if idle:
-            idle.sort(key=lambda client: (client.asked, client.since))
-            for client in idle[: 1 + len(idle) // 2]:
+        waited longest go first. The protocol allows closing where no req is open; but whoever will ask again
+        comes back at once, so that ending many of them makes a crowd of its own."""
+        now = self.clock.now()
+        waited = sorted((client.since, place, client) for place, client in enumerate(self.clients))
+        for since, _, client in waited:
+            if not count or since > now - SETTLED:
+                return
+            if (pressing or not client.asked or since < now - AT_PEACE) and client.is_idle():
                 client.link.end(Ending.CLOSED)
+                count -= 1
 
     def report(self) -> str:
         counted = ", ".join(f"{name} {count}" for name, count in self.counts.items())
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -28,7 +28,7 @@
 READS = 8  # reads of one connection before the others have their turn
 BACKLOG = 1024
 SPARE = 24  # descriptors kept for the listener, the log, the datagrams and the event loop
-ACCEPTING = 0.6  # part of the descriptors in use from which accepting pauses; the rest is for nodes. Usual
+ACCEPTING = 0.75  # part of the descriptors in use from which accepting pauses; the rest is for nodes. Usual
 # clients hold a third at most, says the protocol
 ROOM_FROM = 0.9  # part of that from which idle connections are ended for new ones
 QUEUED = 0.25  # part of the memory that what is queued for slow readers may take
@@ -346,13 +346,17 @@
         link.receiver.up(link)
 
     async def accept(
-        self, listener: socket.socket, receiver: Callable[[], Receiver], make_room: Callable[[], None]
+        self,
+        listener: socket.socket,
+        receiver: Callable[[], Receiver],
+        make_room: Callable[[int, bool], None],
     ) -> None:
         """Takes connections for ever; while descriptors are short they wait in the backlog."""
         while True:
             try:
-                if self.open >= ROOM_FROM * ACCEPTING * self.most:
-                    make_room()
+                over = self.open + 1 - int(ROOM_FROM * ACCEPTING * self.most)
+                if over > 0:
+                    make_room(over, self.open >= ACCEPTING * self.most)
                 if self.open >= ACCEPTING * self.most:
                     raise OSError(errno.EMFILE, f"{self.open} connections are open")
                 sock, _ = listener.accept()
@@ -378,6 +382,7 @@
             link.receiver.up(link)
             self.flush()
             self.tasks.start_soon(link.guarded, link.read, link.scope)
+            await lowlevel.checkpoint()  # a crowd of new connections must not keep the others from being read
 
 
 def _new_socket(kind: socket.SocketKind) -> socket.socket:
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -14,7 +14,7 @@
 from ironhinge.net import clientwire
 from ironhinge.net.director import Clock, Director
 from ironhinge.net.ending import RESULTS, Ending
-from ironhinge.net.links import Driver, Poll, datagrams
+from ironhinge.net.links import Driver, Link, Poll, datagrams
 from ironhinge.net.parties import Client
 
 from .helpers import PATIENCE, FakeNode, configuration, endpoint, resp
@@ -452,3 +452,31 @@
 
     play(script, scene, (node, node))
     assert script.got(face.Outcome)[0].result == "error"
+
+
+def test_room_for_new_clients_is_made_by_those_who_waited_longest_and_no_more_than_needed():
+    """Guards usual clients: one whose idle connection is closed comes back at once, so closing many of them
+    makes a crowd (the incident r6d922e)."""
+    script = Scripted(ReqCame=[ask()])
+
+    async def scene(director, client, until):
+        clients, now = [], director.clock.now()
+        for waited, asked in [(9000, True), (3000, True), (20000, True), (5000, False), (100, False)]:
+            one = Client(director)
+            one.link = Link(director.driver, one, 0, 0)
+            one.since, one.asked = now - waited, asked
+            director.clients[one] = None
+            clients.append(one)
+        director.take(clients[2], came(1))
+
+        def left():
+            return [one for one in clients if one in director.clients]
+
+        director.make_room(3, False)
+        assert left() == [clients[0], clients[1], clients[2], clients[4]]
+        director.make_room(1, True)
+        assert left() == [clients[1], clients[2], clients[4]]
+        director.make_room(9, True)
+        assert left() == [clients[2], clients[4]]
+
+    play(script, scene)
