One idle connection ends for each new one; idle links to nodes go when descriptors are short

Clients may use 0.85 of the descriptors, links to nodes go after a second without use while room is short, and accepting ends one idle connection for each that comes, without a wait. Also: a patience a little over the client timeout (12 ms seen) is a usual client's; refused is what goes over twice that time.

--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -38,7 +38,8 @@
 SLACK = 50 * MS  # each limit of the protocol is longer by this
 LAG_FADES = 97  # per cent of the lateness seen that is still reckoned with a pulse later
 SETTLED = 150 * MS  # a client's connection is not closed for others' sake before it has waited that long; and
-AT_PEACE = SECOND  # one on which something was asked not before that, while there is any room at all
+AT_PEACE = SECOND  # one on which something was asked not before that, while there is any room at all; nor is
+# one to a node
 GROUPS = 256  # of objects, says the protocol
 LINGER = SECOND  # what a client has left unread is given up after that
 
@@ -185,8 +186,8 @@
         vhost = self.told.names.vhosts.index(route)
         facts = self.told.deployment.vhosts[vhost]
         patience = int(clientwire.number_of(fields, "patience") * MS)
-        if patience > facts.timeout + MS:
-            raise ValueError("field 'patience' is over the client timeout")
+        if patience > 2 * facts.timeout:  # usual clients go a little over it
+            raise ValueError("field 'patience' is far over the client timeout")
         size = clientwire.number_of(fields, "size", 0.0)
         pace = self.told.deployment.pace
         if pace and size * SECOND > pace * facts.timeout:  # one such figure would spoil every mean
@@ -484,9 +485,9 @@
     def sweep(self) -> None:
         """Connections to nodes go well before the nodes let them go, so that no req crosses the close."""
         now = self.clock.now()
-        idle = self.told.transport.idle or now
+        idle = AT_PEACE if self.driver.is_crowded() else (self.told.transport.idle or now) // 2
         for node in list(self.nodes.values()):
-            node.look(now, now - idle // 2)
+            node.look(now, now - idle)
             if node.state == "gone" and not node.links:
                 del self.nodes[node.id]  # guards the memory on days on which all nodes are replaced
         self.links_each = self.driver.share_of(sum(bool(node.links) for node in self.nodes.values()))
@@ -494,18 +495,17 @@
             client.link.drop_late(self.clock.seconds(now))
             client.look(now)
 
-    def make_room(self, count: int, pressing: bool) -> None:
-        """Guards the descriptors against clients that hold connections and ask nothing: the ones that have
-        waited longest go first. The protocol allows closing where no req is open; but whoever will ask again
-        comes back at once, so that ending many of them makes a crowd of its own."""
+    def make_room(self, pressing: bool) -> bool:
+        """Guards the descriptors against clients that hold connections and ask nothing: the one that has
+        waited longest goes. The protocol allows closing where no req is open; but whoever will ask again
+        comes back at once, so that ending more than one for each that comes makes a crowd of its own."""
         now = self.clock.now()
-        waited = sorted((client.since, place, client) for place, client in enumerate(self.clients))
-        for since, _, client in waited:
-            if not count or since > now - SETTLED:
-                return
+        waited = [(client.since, place, client) for place, client in enumerate(self.clients)]
+        for since, _, client in sorted(each for each in waited if each[0] < now - SETTLED):
             if (pressing or not client.asked or since < now - AT_PEACE) and client.is_idle():
                 client.link.end(Ending.CLOSED)
-                count -= 1
+                return True
+        return False
 
     def report(self) -> str:
         counted = ", ".join(f"{name} {count}" for name, count in self.counts.items())
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -28,7 +28,7 @@
 READS = 8  # reads of one connection before the others have their turn
 BACKLOG = 1024
 SPARE = 24  # descriptors kept for the listener, the log, the datagrams and the event loop
-ACCEPTING = 0.75  # part of the descriptors in use from which accepting pauses; the rest is for nodes. Usual
+ACCEPTING = 0.85  # part of the descriptors in use from which accepting pauses; the rest is for nodes. Usual
 # clients hold a third at most, says the protocol
 ROOM_FROM = 0.9  # part of that from which idle connections are ended for new ones
 QUEUED = 0.25  # part of the memory that what is queued for slow readers may take
@@ -302,6 +302,9 @@
         logger.warning("a connection with {} bytes unread is ended: memory is short", worst.queued)
         worst.end(Ending.CLOSED)
 
+    def is_crowded(self) -> bool:
+        return self.open >= ROOM_FROM * ACCEPTING * self.most
+
     def share_of(self, nodes: int) -> int:
         """Connections that each of so many nodes may have: what clients leave."""
         return max(1, int((1 - ACCEPTING) * self.most) // max(1, nodes))
@@ -349,15 +352,16 @@
         self,
         listener: socket.socket,
         receiver: Callable[[], Receiver],
-        make_room: Callable[[int, bool], None],
+        make_room: Callable[[bool], bool],
     ) -> None:
         """Takes connections for ever; while descriptors are short they wait in the backlog."""
         while True:
             try:
-                over = self.open + 1 - int(ROOM_FROM * ACCEPTING * self.most)
-                if over > 0:
-                    make_room(over, self.open >= ACCEPTING * self.most)
-                if self.open >= ACCEPTING * self.most:
+                full = self.open >= ACCEPTING * self.most
+                if self.is_crowded() and make_room(full) and full:
+                    await lowlevel.checkpoint()  # the one that was ended gives its descriptor back
+                    continue
+                if full:
                     raise OSError(errno.EMFILE, f"{self.open} connections are open")
                 sock, _ = listener.accept()
                 sock.setblocking(False)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -81,6 +81,11 @@
     assert cache.next()[2]["got"] == "4be0c1927d55a6f3"
 
 
+def test_a_patience_a_little_over_the_client_timeout_is_fine(world):
+    one = world()
+    assert one.client.answer(one.client.ask(patience=15060))[0] == DONE
+
+
 def test_bodies_longer_than_every_ring_pass_whole_and_many_at_once(world):
     long = bytes(range(256)) * 900
 
