Dispatches out count as crowding only beyond the most that were out at ease

Now as many as were out while a dispatch took less than CROWDED times its sending time are no crowding; that fades as the pace does, so a link that fills is judged as before.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -128,19 +128,25 @@
         self.out: Dict[str, Req] = {}  # reqs with a dispatch out that takes this way
         self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, and full-pace time
         self.crowd = 0.0  # dispatches that were out then, weighted by work
+        self.ease = 0.0  # the most that were out while one was not crowded, fading as fast
 
     def paced(self, took: float, req: Req, now: int, memory: float) -> None:
         fade = 2 ** ((self.pace_at - now) / memory)
         self.took, self.work, self.pace_at = self.took * fade + took, self.work * fade + req.work, now
-        self.crowd = self.crowd * fade + req.work * (req.crowd[self] + len(self.out) + 1) / 2
+        out = (req.crowd[self] + len(self.out) + 1) / 2
+        self.crowd = self.crowd * fade + req.work * out
+        self.ease = max(self.ease * fade, out if took < CROWDED * req.work else 0.0)
 
     def pace(self, now: int, memory: float, prior: float) -> float:
         """How many times its sending time a req would take now: what was seen, scaled by the dispatches out
         now against then, since what was seen is as old as the transfers that showed it. Guards against
-        swinging."""
+        swinging. As many as went at ease lately count as then: where nothing is full, more take no longer."""
         fade = 2 ** ((self.pace_at - now) / memory)
         seen = (self.took * fade + prior) / (self.work * fade + prior)
-        return max(1.0, seen * (len(self.out) + 1) * self.work / self.crowd) if self.crowd else seen
+        if not self.crowd:
+            return seen
+        ease = self.ease * fade
+        return max(1.0, seen * max(len(self.out) + 1, ease) / max(self.crowd / self.work, ease))
 
 
 class Node(Flow):
@@ -157,7 +163,7 @@
         self.bad = 0.0  # share of failures in its latest outcomes
         self.answered_at = 0  # when it last showed that it is alive
         self.full_until = 0
-        self.took = self.work = self.crowd = 0.0
+        self.took = self.work = self.crowd = self.ease = 0.0
         self.benched_until = 0
         self.bench = 0.0  # length of the last bench, as a share of the longest client timeout
         self.busy = 1.0  # share of what it can do that it says is in use, averaged
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -224,3 +224,15 @@
 
     assert sources(60.0) == ["p0"] * 60
     assert sources(20.0) == ["p0"] * 24 + ["o"] * 36
+
+
+def test_more_dispatches_out_are_no_crowd_where_as_many_went_at_ease():
+    """Guards against denials while nothing is full and what is out swings (the incident r75352c)."""
+    one, now = router(names=(*CACHES, "p0", "o")), 10
+    acts = [asked(one.step(now + i, req("a%d" % i, obj=i, size=2000, left=60000))) for i in range(12)]
+    now += 4400
+    for act in reversed(acts):
+        now += 1
+        one.step(now, outcome(act, "done", took=4400, note=2))
+    acts = [one.step(now + i, req("b%d" % i, obj=50 + i, size=2000, left=60000)) for i in range(18)]
+    assert all(asked(each).source == "p0" for each in acts)
