--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -384,7 +384,7 @@
         until = end
         if req.vhost.facts.effect == "replayable":
             # a silent node must leave time for another dispatch before the client timeout
-            until = min(end, max(end - int(ROOM * req.work), now + (end - now) // 2))
+            until = now + (end - now) // 2
         limit = self.age_limit(req)
         behind = node.row.kind in (facts.parent_kind, facts.origin_kind)
         if source is node and (node is self.origin or not behind and not limit):
