--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -383,9 +383,8 @@
         end = req.left_at - 2 * facts.tick
         until = end
         if req.vhost.facts.effect == "replayable":
-            # a silent node must leave time for another dispatch, with its wait, before the client timeout
-            again = req.vhost.facts.target + int(ROOM * req.work)
-            until = min(end, max(end - again, now + (end - now) // 2))
+            # a silent node must leave time for another dispatch before the client timeout
+            until = min(end, max(end - int(ROOM * req.work), now + (end - now) // 2))
         limit = self.age_limit(req)
         behind = node.row.kind in (facts.parent_kind, facts.origin_kind)
         if source is node and (node is self.origin or not behind and not limit):
