A req lost to a fault of the module leaves nothing behind in what it believes

Suspect of the issue, proven by test: after a fault the director answered the req as aborted, but Router.reqs and the dispatches out at its node, source and link kept it. Ruled out by test: objects that every node answers with an error bench nobody (Router.bench, usual).

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -227,6 +227,19 @@
     def step(self, now: int, what: face.Happening) -> List[face.Action]:
         """The entry point."""
         self.now, self.acts = now, []
+        try:
+            self.take_in(what)
+        except (
+            Exception
+        ):  # guards what is believed of nodes: a req lost to a fault must not stay out for ever
+            name = getattr(what, "id", "")
+            req = self.reqs.pop(name, None)
+            for way in req.crowd if req else ():
+                way.out.pop(name, None)
+            raise
+        return self.acts
+
+    def take_in(self, what: face.Happening) -> None:
         if isinstance(what, face.ReqCame):
             self.take(what)
         elif isinstance(what, face.Outcome):
@@ -247,7 +260,6 @@
             self.acts.append(face.Remind(max(1, self.facts.ask_within // 10), "watch"))
         elif isinstance(what, face.Rang) or isinstance(what, face.Started) and self.facts.must_watch:
             self.acts.append(face.Watch(True))  # the only timer is the one to watch again
-        return self.acts
 
     # The list of nodes
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,5 +1,7 @@
 """One small test for each failure that was found."""
 
+import pytest
+
 from ironhinge import interface as face
 
 from .helpers import CACHES, deployment, outcome, req, router, row
@@ -236,3 +238,28 @@
         one.step(now, outcome(act, "done", took=4400, note=2))
     acts = [one.step(now + i, req("b%d" % i, obj=50 + i, size=2000, left=60000)) for i in range(18)]
     assert all(asked(each).source == "p0" for each in acts)
+
+
+def test_objects_that_no_node_can_use_condemn_no_node():
+    """Guards against clients that ask for what does not exist: every node fails it alike."""
+    one, now = router(), 0
+    for i in range(60):
+        now += 100
+        acts, number = one.step(now, req("a%d" % i, obj=i)), 0
+        while type(acts[0]) in (face.Ask, face.Fetch):
+            ends = i % 2 == 0  # every other req is one that nobody can use
+            act = acts[0]
+            acts = one.step(now + 5, outcome(act, "done" if ends else "error", number, took=5, note=1))
+            number += 1
+            if ends:
+                break
+    assert not any(node.bench for node in one.nodes.values())
+
+
+def test_a_req_lost_to_a_fault_leaves_nothing_behind():
+    one = router()
+    asked(one.step(10, req("a")))
+    one.client_left = None
+    with pytest.raises(TypeError):
+        one.step(20, face.Left("a"))
+    assert not one.reqs and not one.inlet.out and not any(node.out for node in one.nodes.values())
