Beside a time-out nobody else is blamed; what waits unread is not taken for a stop within

Found by reading: Director._give_up ended a silent connection as CLOSED, so that the next dispatch on it counted as another failure of the node; NodeLink.look and Client.look judged a half answer or frame by when it was last read, also after a pause of the program while the rest waited in the socket. Tests fail without the change.

--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -299,7 +299,7 @@
                 told = False
         self.end(errand, ending)
         if not told and carrier is not None:
-            carrier.link.end(Ending.CLOSED)  # gives up all that is on it, before anything else is written
+            carrier.link.end(Ending.BESIDE)  # gives up all that is on it, before anything else is written
 
     def _take_back(self, wrong: Callable[[Dispatch], bool]) -> None:
         """Guards drains and purges, which count a send from its first byte: dispatches that were waiting for
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -39,9 +39,7 @@
         self.link: Link
         self.ending_at: Optional[int] = None  # when we began to end it
         self.asked = False  # has sent a frame
-        self.since = (
-            director.clock.now()
-        )  # waiting since then: for its first frame, the rest of one, or the next
+        self.since = director.clock.now()  # it is waited for: its first frame, the rest of one, or the next
 
     def up(self, link: Link) -> None:
         self.link = link
@@ -116,7 +114,7 @@
             if now > self.ending_at + LINGER:
                 self.link.end(Ending.CLOSED)
         elif self.wire.held:
-            if now > self.since + BEGIN:
+            if now > self.since + BEGIN and not self.link.has_unread():  # it is not we who are late
                 self._refuse("a frame that does not end")
         elif self.is_idle() and now > self.since + (IDLE if self.asked else BEGIN):
             self.director.counts["idle"] += 1
@@ -168,10 +166,8 @@
         self.director, self.node = director, node
         self.wire = nodewire.NodeWire()
         self.open: Dict[str, Errand] = {}
-        self.spent: Dict[
-            str, int
-        ] = {}  # ids given up here, and when no answer can come any more: until then a
-        # late one could pass for a later dispatch's
+        # ids given up here, and when no answer can come any more: a late one could pass for a later dispatch's
+        self.spent: Dict[str, int] = {}
         self.stale = False  # takes nothing more
         self.idle_at = 0
         self.link: Link
@@ -207,8 +203,10 @@
         """Ends the connection if it is of no use any more."""
         if not self.link.is_up:
             return
-        stuck = now - self.director.told.transport.dial
-        if self.wire.begun() and int(self.link.heard_at * SECOND) < stuck:
+        stuck = (
+            self.wire.begun() and now > int(self.link.heard_at * SECOND) + self.director.told.transport.dial
+        )
+        if stuck and not self.link.has_unread():
             # guards against answers that stop short: what is open here would wait for them in vain
             self.link.end(Ending.STUCK)
         elif not self.open and (self.stale or self.idle_at < idle_since):
@@ -223,13 +221,13 @@
         self.node.links.remove(self)
         if ending in (Ending.REFUSED, Ending.NEVER_UP):
             logger.info("node {} at {}:{}: connection {}", self.node.id, *self.node.address, ending.name)
-        first = True
+        first = ending is not Ending.BESIDE
         for errand in list(self.open.values()):
             if link.is_up or ending is Ending.CUT:
                 had_it = errand.frame is not None and link.written(errand.frame)
                 one = ending if had_it else Ending.CUT
-                two = Ending.BESIDE if had_it else Ending.UNWRITTEN
-                self.director.end(errand, one if first else two)
+                other = Ending.BESIDE if had_it else Ending.UNWRITTEN
+                self.director.end(errand, one if first else other)
                 first = False
             else:
                 self.director.end(errand, ending)
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -374,7 +374,7 @@
     play(router, scene)
 
 
-@pytest.mark.parametrize("written", [True, False])
+@pytest.mark.parametrize("written", [True, False, "and one times out"])
 def test_a_connection_that_breaks_is_one_failure_however_many_are_out_on_it(written):
     """Guards a healthy node's name against a reset, and the reqs beside against another wait."""
     names = [f"{i:016x}" for i in range(6)]
@@ -391,11 +391,33 @@
             await until(lambda: len(node.wanted) == 6)
         else:
             carrier.link.is_up = True  # and nothing was written yet
+        if isinstance(written, str):
+            director._give_up(director.reqs[names[0]].out, Ending.TIMED_OUT)
         carrier.link.end(Ending.RESET)
 
     play(script, scene, (node, node))
     results = [end.result for end in script.got(face.Outcome)]
-    assert results == (["reset"] + ["cancelled"] * 5 if written else ["cut"] + ["unsent"] * 5)
+    ends = {True: ["reset"] + ["cancelled"] * 5, False: ["cut"] + ["unsent"] * 5}
+    assert results == ends.get(written, ["timeout"] + ["cancelled"] * 5)
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_an_answer_that_stops_within_ends_its_connection_unless_it_is_we_who_are_late(late):
+    node = FakeNode(lambda told: b"*4\r\n$1")
+    script = Scripted(ReqCame=[ask()])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        (carrier,) = director.nodes["s-00000001"].links
+        await until(lambda: carrier.wire.begun())
+        carrier.link.heard_at -= 1
+        carrier.link.has_unread = lambda: late
+        carrier.look(director.clock.now(), 0)
+        assert carrier.link.is_over is not late
+
+    play(script, scene, (node, node))
+    assert [end.result for end in script.got(face.Outcome)] == ([] if late else ["reset"])
 
 
 def test_what_is_out_is_spread_over_connections_and_an_idle_one_is_used_again():
