What a timed-out fill took counts for its source's pace, not for the cache's

Router.blame charged the time of a timed-out dispatch with a source to the cache when that had failed more; what is done was charged to the source already (Router.outcome). Kept for what it guards, small as it is.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -513,8 +513,10 @@
             suspects.append(source)
             if what.note in (6, 7, 8, 10) or (not what.note and source.bad >= node.bad):
                 culprit = source
-        if result == "timeout":
-            culprit.paced(what.took, req, self.now, self.memory)
+        if (
+            result == "timeout"
+        ):  # guards the caches' hits while fills hang: see outcome, they are their sources'
+            (source or culprit).paced(what.took, req, self.now, self.memory)
         if result == "timeout" and culprit.answered_at > req.sent_at:
             return culprit  # slow, not silent
         if result != "timeout":
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -166,7 +166,7 @@
         self.director, self.node = director, node
         self.wire = nodewire.NodeWire()
         self.open: Dict[str, Errand] = {}
-        # ids given up here, and when no answer can come any more: a late one could pass for a later dispatch's
+        # ids given up here, and when no answer can come any more: a late one could pass for a later one's
         self.spent: Dict[str, int] = {}
         self.stale = False  # takes nothing more
         self.idle_at = 0
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -263,3 +263,14 @@
     with pytest.raises(TypeError):
         one.step(20, face.Left("a"))
     assert not one.reqs and not one.inlet.out and not any(node.out for node in one.nodes.values())
+
+
+def test_fills_that_time_out_do_not_make_their_cache_slow():
+    """Guards the hits of caches while the origin stands still and all fills hang."""
+    one = router()
+    act = asked(one.step(10, req("a", size=2000)))
+    cache, source = one.nodes[act.node], one.nodes[act.source]
+    cache.bad = 0.5  # it fails more than the source, and is held to have failed here too
+    one.step(20010, outcome(act, "timeout", took=20000))
+    paces = [each.pace(20010, one.memory, one.prior) for each in (cache, source)]
+    assert paces[0] == 1.0 < paces[1]
