--- /dev/null
+++ b/ironhinge/settings/cli.py
@@ -0,0 +1,73 @@
+"""Owns the commands on settings. It must never change a file."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Tuple
+
+import click
+
+
+@click.group()
+def settings() -> None:
+    """Operators' settings: check them, show what they come to, print what may stand in them."""
+
+
+files_argument = click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
+json_option = click.option("--json", "as_json", is_flag=True, help="One JSON object instead of text.")
+
+
+def loaded(files: Tuple[str, ...], as_json: bool):
+    """The settings of these files; what is wrong with them ends the program with code 2, all of it told."""
+    from .load import Wrong, load
+
+    try:
+        return load(files)
+    except Wrong as wrong:
+        if as_json:
+            rows = [
+                {**fault.at._asdict(), "path": fault.path, "found": fault.found, "expected": fault.expected}
+                for fault in wrong.faults
+            ]
+            click.echo(json.dumps({"good": False, "faults": rows}))
+        else:
+            for fault in wrong.faults:
+                click.echo(str(fault), err=True)
+        sys.exit(2)
+    except OSError as fault:
+        click.echo(f"ironhinge: {fault.filename}: {fault.strerror}", err=True)
+        sys.exit(2)
+
+
+@settings.command()
+@files_argument
+@json_option
+def check(files: Tuple[str, ...], as_json: bool) -> None:
+    """Say all that is wrong with FILES taken together; code 0 if nothing is."""
+    traffic = loaded(files, as_json).operations.traffic
+    count = len(traffic.budgets) if traffic else 0
+    if as_json:
+        click.echo(json.dumps({"good": True, "traffic": traffic is not None, "budgets": count}))
+    else:
+        about = f"account of traffic, {count} budgets" if traffic else "nothing turned on"
+        click.echo(f"{', '.join(files)}: good; {about}")
+
+
+@settings.command()
+@files_argument
+@json_option
+def show(files: Tuple[str, ...], as_json: bool) -> None:
+    """Print what FILES come to, unified and with all defaults."""
+    from .load import write
+
+    plain = loaded(files, as_json).plain
+    click.echo(json.dumps(plain) if as_json else write(plain), nl=as_json)
+
+
+@settings.command()
+def schema() -> None:
+    """Print what may stand in settings."""
+    from .load import schema_text
+
+    click.echo(schema_text(), nl=False)
