--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -16,6 +16,7 @@
  4. cold budget: a node that started lately gets no more than its share of what it can do.
  5. purge limit: copies older than a purge are refused until the purge has settled.
  6. past the caches: where the settings allow it and no cache will do, a req goes straight to its source.
+ 7. budgets: sources whose budget of bytes is spent are passed over, where operators have set one.
 """
 
 from __future__ import annotations
@@ -182,6 +183,7 @@
 
 class Req:
     def __init__(self, came: face.ReqCame, vhost: VhostRow, now: int, work: int):
+        self.came, self.unpaid = came, 0  # how long until a budget that had no room for it has
         self.id, self.key, self.group, self.size = came.id, (came.obj, came.part), came.group, came.size
         self.vhost, self.work, self.left_at = vhost, work, now + came.left
         self.salt = mix(came.obj, came.part + 1)
@@ -204,8 +206,8 @@
 
 
 class Router:
-    def __init__(self, facts: face.Deployment, seed: int):
-        self.facts, self.chance = facts, Chance(seed)
+    def __init__(self, facts: face.Deployment, seed: int, purse: Optional[face.Purse] = None):
+        self.facts, self.chance, self.purse = facts, Chance(seed), purse
         self.vhosts = [VhostRow(vhost) for vhost in facts.vhosts]
         self.longest = max([vhost.timeout for vhost in facts.vhosts], default=10_000)
         self.nodes: Dict[str, Node] = {}
@@ -381,14 +383,23 @@
     def fill_source(self, req: Req) -> Optional[Node]:
         """A hash order of the object over all listed parents, the origin when none of them will do; none
         when the link in that all fills share is crowded, since moving on would not help."""
+        req.unpaid = 0
         if not self.in_time(req, self.inlet):
             return None
         for node in sorted(self.parents, key=lambda node: mix(req.home, node.salt), reverse=True):
             bound = max(FILLS_BOUND, node.row.weight)
             if node not in req.failed and len(node.out) < bound and self.fit(req, node):
-                return node
+                if self.paid(req, node):
+                    return node
         origin = self.origin
-        return origin if origin is not None and self.fit(req, origin) else None
+        return origin if origin is not None and self.fit(req, origin) and self.paid(req, origin) else None
+
+    def paid(self, req: Req, node: Node) -> bool:
+        """Guards operators' budgets: a source whose budget is spent is passed over like a crowded one. The
+        soonest that one has room again is what its client is told. Harms hits at caches not at all."""
+        wait = self.purse.wait(self.now, req.came, node.id) if self.purse is not None else 0
+        req.unpaid = min(req.unpaid or wait, wait) if wait else req.unpaid
+        return not wait
 
     def dispatch(self, req: Req, node: Node, source: Node, rank: int) -> None:
         facts, now = self.facts, self.now
@@ -474,7 +485,8 @@
         dropped = vhost.effect == "uniqued" and vhost.scope == "all"  # repeats are, everywhere
         harmless = vhost.effect == "replayable" or not ran or dropped and self.now < ran[1] + vhost.window
         slack = max(0, req.target_at - self.now - req.work)
-        advice = min(self.facts.backoff, int(ADVICE * slack))  # back while the target can still be met
+        # back while the target can still be met, or when a budget that had no room should have it
+        advice = min(self.facts.backoff, max(int(ADVICE * slack), req.unpaid))
         self.acts.append(face.Deny(req.id, advice) if harmless else face.Abort(req.id))
 
     # Health
--- a/ironhinge/interface.py
+++ b/ironhinge/interface.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import NamedTuple, Optional, Tuple, Union
+from typing import NamedTuple, Optional, Protocol, Tuple, Union
 
 # Facts of a deployment
 
@@ -105,6 +105,7 @@
     vhost: int
     repeat: bool
     write: bool
+    viewer: int = 0  # whose connection it came on; 0 where that is not told
 
 
 class Streaming(NamedTuple):
@@ -231,3 +232,14 @@
 
 
 Action = Union[Ask, Fetch, CallOff, Deny, Abort, Remind, Watch, Snapshot, Probe, Say, Log]
+
+
+# What the module may ask
+
+
+class Purse(Protocol):
+    """Budgets of bytes that operators set; a module without one decides as if there were none."""
+
+    def wait(self, now: int, came: ReqCame, source: str) -> int:
+        """0: a fill from that source may go; else the time until there should be room for it."""
+        ...
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -12,7 +12,7 @@
 import time
 from collections import Counter, deque
 from heapq import heappop, heappush
-from typing import Any, Callable, Deque, Dict, List, Optional, Set, Tuple, Union
+from typing import Any, Callable, Deque, Dict, List, Optional, Protocol, Set, Tuple, Union
 
 import anyio
 from anyio import lowlevel
@@ -69,6 +69,27 @@
         return self.now() - self.unix_age(unix_ms) + 1
 
 
+class Books(face.Purse, Protocol):
+    """What keeps the account of crossings, as the director sees it."""
+
+    def listed(self, now: int, what: face.Listed) -> None: ...
+
+    def sent(self, now: int, came: face.ReqCame, node: str, source: str, how: Dict[str, str]) -> None: ...
+
+    def ended(
+        self,
+        now: int,
+        came: face.ReqCame,
+        result: str,
+        note: int,
+        body: Optional[int],
+        took: int,
+        gone: bool,
+    ) -> None: ...
+
+    def heard(self, now: int, sender: int, data: bytes) -> bool: ...
+
+
 class OpenReq:
     """From its last byte to its one final answer, and on until its dispatch has ended."""
 
@@ -81,6 +102,7 @@
         "body",
         "wanted_until",
         "closed",
+        "gone",
         "dispatches",
         "out",
     )
@@ -90,14 +112,16 @@
         self.stream, self.fields, self.body = message.stream, message.fields, message.body
         self.wanted_until = Clock.seconds(now + came.left + LINGER)  # by then its client has left for sure
         self.closed = False  # answered, or its client has left
+        self.gone = False  # its client has left
         self.dispatches = 0
         self.out: Optional[Dispatch] = None
 
 
 class Director:
-    def __init__(self, told: Assignment, driver: Driver):
+    def __init__(self, told: Assignment, driver: Driver, books: Optional[Books] = None):
         self.told, self.driver, self.clock = told, driver, Clock()
-        self.router = Router(told.deployment, told.seed)
+        self.books = books  # the account of crossings, where operators turned it on
+        self.router = Router(told.deployment, told.seed, books)
         self.reqs: Dict[str, OpenReq] = {}
         self.clients: Dict[Client, None] = {}  # the one that was heard of longest ago first
         self.nodes: Dict[str, Node] = {}
@@ -115,6 +139,7 @@
         self.counts: Counter[str] = Counter()
         self.complained: Set[str] = set()
         self.links_each = 1  # connections that a node may have
+        self.clients_seen = 0
         self.carry_out: Dict[type, Callable[[Any], None]] = {
             face.Ask: self._ask,
             face.Fetch: self._fetch,
@@ -163,7 +188,7 @@
         try:
             if isinstance(message, clientwire.Unreadable):
                 raise ValueError(message.text)
-            came = self._came(message.fields)
+            came = self._came(message.fields, client.number)
         except ValueError as fault:
             self.complain("unreadable", f"a req can't be read: {fault}")
             text = str(fault).encode()
@@ -176,7 +201,7 @@
         self.counts["reqs"] += 1
         self.happen(came)
 
-    def _came(self, fields: Dict[str, str]) -> face.ReqCame:
+    def _came(self, fields: Dict[str, str], viewer: int) -> face.ReqCame:
         name = clientwire.digits_of(fields, "trace")
         if name in self.reqs:
             raise ValueError("field 'trace' names an open req")
@@ -203,13 +228,14 @@
             vhost=vhost,
             repeat=fields.get("redo") == "1",
             write=facts.writes,
+            viewer=viewer,
         )
 
     def left(self, req: OpenReq) -> None:
         """Its client has gone: nothing more is owed."""
         if req.closed:
             return
-        req.closed = True
+        req.closed = req.gone = True
         self.counts["left"] += 1
         self.happen(face.Left(req.id))
         self._forget(req)
@@ -268,6 +294,7 @@
             load = load_report(answer.load, self.told.deployment) if answer.load else None
         if not isinstance(errand, Dispatch):
             return self.happen(face.Probed(node, RESULTS[ending], took, load))
+        body = len(answer.body) if answer is not None and ending is Ending.SERVED else None
         req = errand.req
         if ending is Ending.SAME and "have" not in req.fields:
             ending = Ending.ERRED  # there is no copy that could be the same
@@ -283,6 +310,8 @@
             self._finish(req.id, clientwire.DONE, {"same": "1"})
         self._forget(req)
         result = RESULTS[ending]
+        if self.books is not None:
+            self.books.ended(now, req.came, result, note, body, took, req.gone)
         self.happen(face.Outcome(req.id, errand.number, node, result, took, req.closed, note, 0, load))
 
     def _give_up(self, errand: Errand, ending: Ending) -> None:
@@ -339,6 +368,8 @@
         out.oldest = oldest
         req.dispatches += 1
         self.counts["dispatches"] += 1
+        if self.books is not None:
+            self.books.sent(now, req.came, to, source.id if source is not None else "", how)
         if req.closed or until <= now:
             return self.end(out, Ending.UNWRITTEN)
         fields = {"kind": req.fields["route"], "obj": req.fields["entity"]}
@@ -381,6 +412,9 @@
             except OSError:
                 pass  # datagrams may be lost
 
+    def tell_peers(self, data: bytes) -> None:
+        self._say(face.Say(None, data))
+
     def _log(self, act: face.Log) -> None:
         logger.info("module: {}", act.text)
 
@@ -398,6 +432,8 @@
         elif isinstance(news, ListNews) and news.number > self.number:
             self.number = news.number
             rows = self._learn_nodes(news)
+            if self.books is not None:
+                self.books.listed(self.clock.now(), face.Listed(news.whole, rows))
             self.happen(face.Listed(news.whole, rows))
             self._take_back(Dispatch.is_outdated)
 
@@ -565,6 +601,10 @@
                 await lowlevel.checkpoint()
                 continue
             if Address(*sender) in self.told.peers:
+                if self.books is not None and self.books.heard(
+                    self.clock.now(), self.told.peers.index(Address(*sender)), data
+                ):
+                    continue
                 self.happen(face.PeerSaid(self.told.peers.index(Address(*sender)), data))
                 self.driver.flush()
 
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -34,6 +34,8 @@
 
     def __init__(self, director: Director):
         self.director = director
+        director.clients_seen += 1
+        self.number = director.clients_seen
         self.wire = clientwire.ClientWire()
         self.open: Dict[int, OpenReq] = {}  # by stream
         self.link: Link
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -44,21 +44,23 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
 
 
-def run(told: Assignment, read_again: Callable[[], Assignment]) -> None:
+def run(told: Assignment, read_again: Callable[[], Assignment], books: Any = None) -> None:
     """Serves until SIGTERM; at SIGHUP the configuration is read again."""
     poll = Poll()
     options = {"loop_factory": lambda: asyncio.SelectorEventLoop(poll)}
-    anyio.run(_serve, told, read_again, poll, backend_options=options)
+    anyio.run(_serve, told, read_again, poll, books, backend_options=options)
 
 
-async def _serve(told: Assignment, read_again: Callable[[], Assignment], poll: Poll) -> None:
+async def _serve(told: Assignment, read_again: Callable[[], Assignment], poll: Poll, books: Any) -> None:
     with anyio.open_signal_receiver(*HEARD) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
         async with anyio.create_task_group() as tasks:
-            director = _start(told, poll, tasks)
+            director = _start(told, poll, tasks, books)
             await _until_told_to_leave(signals, director, read_again)
             tasks.start_soon(_until_told_to_leave, signals, None, read_again)  # none may end it any more
             await _leave(director)
+            if books is not None:
+                books.close()
             tasks.cancel_scope.cancel()
 
 
@@ -76,10 +78,13 @@
             logger.error("SIGHUP: {}; the old configuration holds", fault)
 
 
-def _start(told: Assignment, poll: Poll, tasks: TaskGroup) -> Director:
+def _start(told: Assignment, poll: Poll, tasks: TaskGroup, books: Any) -> Director:
     """What is known goes to the module first; then clients may come."""
     driver = Driver(tasks, told.limits, poll)
-    director = Director(told, driver)
+    director = Director(told, driver, books)
+    if books is not None:
+        books.tell = director.tell_peers
+        tasks.start_soon(_keep, books.keep)
     if told.peer_listen is not None:
         director.peers = datagrams(told.peer_listen)
     director.start()
--- a/ironhinge/settings/load.py
+++ b/ironhinge/settings/load.py
@@ -1,13 +1,13 @@
 """Owns the way from files to records: reads, unifies with the schema, and converts. It must never repair.
 
-What no record can say alone (a budget within one that isn't there, a zone that the deployment lacks) is checked
-here too, and told with the place of the field.
+What no record can say alone (a budget within one that isn't there, a zone that the deployment lacks) is
+checked here too, and told with the place of the field.
 """
 
 from __future__ import annotations
 
 from importlib import resources
-from typing import Any, Callable, Dict, Iterable, List, NamedTuple, Optional, Sequence, Tuple
+from typing import Any, Dict, Iterable, List, NamedTuple, Optional, Sequence, Tuple
 
 import msgspec
 
@@ -39,7 +39,7 @@
 
 def read_texts(texts: Iterable[Tuple[str, str]]) -> Read:
     """What several texts, each with its file's name, say together under the schema."""
-    schema = Struct([Text(parse(schema_text(), "schema.cue"), Env(None, None), False)], "")
+    schema = Struct([Text(parse(schema_text(), "schema.cue"), Env(None, None, shuts=True), False)], "")
     base = evaluate(Reference((ROOT,), Where("schema.cue", 1, 1)), Env(schema, None), "")
     records: List[Record] = []
     faults: List[Fault] = []
@@ -94,7 +94,9 @@
         if budget.rate is None and budget.sum is None:
             yield Fault(places[path], path, "neither a rate nor a sum", "one of them, or both")
         if budget.burst is not None and budget.rate is None:
-            yield Fault(places[f"{path}.burst"], f"{path}.burst", "a burst without a rate", "a rate beside it")
+            yield Fault(
+                places[f"{path}.burst"], f"{path}.burst", "a burst without a rate", "a rate beside it"
+            )
         if budget.streams is not None and budget.rate is None:
             at = places[f"{path}.streams"]
             yield Fault(at, f"{path}.streams", "streams without a rate", "a rate that they can be promised")
@@ -112,7 +114,8 @@
 
 
 def against(loaded: Loaded, zones: Sequence[str], vhosts: Sequence[str]) -> List[Fault]:
-    """What of the settings a deployment lacks: names are only ever turned into places here and in the ledger."""
+    """What of the settings a deployment lacks: names are only ever turned into places here and in the
+    ledger."""
     faults: List[Fault] = []
     traffic: Optional[Traffic] = loaded.operations.traffic
 
@@ -141,7 +144,9 @@
             for name, value in plain.items()
         ]
         inside = "\n".join(lines)
-        return f"{{\n{inside}\n{indent[4:]}}}" if indent else inside + "\n" * bool(lines)
+        if not indent:
+            return inside + "\n" * bool(lines)
+        return f"{{\n{inside}\n{indent[4:]}}}" if lines else "{}"
     if isinstance(plain, list):
         return "[" + ", ".join(_inline(value) for value in plain) + "]"
     return printed(plain)
@@ -158,6 +163,3 @@
 def _label(name: str) -> str:
     bare = name.isidentifier() and name.isascii()
     return name if bare else printed(name)
-
-
-Reader = Callable[[], Optional[Loaded]]
--- a/ironhinge/settings/records.py
+++ b/ironhinge/settings/records.py
@@ -1,4 +1,5 @@
-"""Owns the frozen records that other packages read; their fields stand in `schema.cue` with bounds and defaults.
+"""Owns the frozen records that other packages read; their fields stand in `schema.cue` with bounds and
+defaults.
 
 They must never hold more than what an operator wrote or the schema gives.
 """
--- a/ironhinge/settings/schema.cue
+++ b/ironhinge/settings/schema.cue
@@ -6,7 +6,7 @@
 
 // The account of bytes that fills carry, and the budgets that they are held to.
 #Traffic: {
-    period: *"30d" | span & >="1s"           // of billing
+    period: *"30d" | Span & >="1s"           // of billing
     most_streams: *10000 | int & >=0 & <=1000000
     distributions: *false | bool             // of sizes and times, in histograms
     budgets: {[string]: #Budget}
@@ -26,9 +26,9 @@
     vhosts?: [...string]
     within?: string                          // a budget that has to have room as well
     scope: *"branch" | "all"                 // whose directors share it
-    rate?: rate & >"0B/s"
-    burst?: size & >"0B"                     // default: what the rate gives in a second
-    sum?: size & >"0B"                       // of a period, paced over what is left of it
+    rate?: Rate & >"0B/s"
+    burst?: Size & >"0B"                     // default: what the rate gives in a second
+    sum?: Size & >"0B"                       // of a period, paced over what is left of it
     ahead: *0.02 | number & >0 & <=1         // part of the sum that may be spent ahead of that pace
     begin: *"empty" | "full"                 // a director that comes up knowing nothing
     emergency?: #Emergency
@@ -37,17 +37,17 @@
 
 // What forced crossings may draw besides, once the budget is spent.
 #Emergency: {
-    rate: rate & >"0B/s"
-    burst?: size & >"0B"
-    sum?: size & >"0B"
-    remember: *"10m" | span & >"0s"          // for how long a hub that went still counts as the one that should serve
+    rate: Rate & >"0B/s"
+    burst?: Size & >"0B"
+    sum?: Size & >"0B"
+    remember: *"10m" | Span & >"0s"          // for how long a hub that went still counts as the one that should serve
 }
 
 // Streams of parts that were begun go before all else.
 #Streams: {
     part: *0.7 | number & >0 & <=1           // of the rate that streams may be promised
-    idle: *"3s" | span & >"0s"               // a stream that asks nothing for that long has stopped
-    interval: *"600ms" | span & >"0s"        // between two parts, until streams were seen
+    idle: *"3s" | Span & >"0s"               // a stream that asks nothing for that long has stopped
+    interval: *"600ms" | Span & >"0s"        // between two parts, until streams were seen
 }
 
 #Price: {
@@ -59,7 +59,7 @@
 
 #Keep: {
     folder: string & !=""
-    every: *"10s" | span & >="100ms"
+    every: *"10s" | Span & >="100ms"
 }
 
 // A listener for scrapes; loopback unless the operator says otherwise.
@@ -70,6 +70,6 @@
 
 // Directors that may talk to their peers hand what they don't need to those that do.
 #Share: {
-    every: *"100ms" | span & >="20ms"
+    every: *"100ms" | Span & >="20ms"
     give: *0.5 | number & >0 & <=1           // part of what lies above half of a full bucket that is given away
 }
--- a/ironhinge/settings/unify.py
+++ b/ironhinge/settings/unify.py
@@ -13,7 +13,7 @@
 from typing import Any, Dict, List, NamedTuple, Optional, Tuple
 
 from . import units
-from .grammar import All, Any_, Bound, Expr, Literal, Record, Reference, Row, Where, quoted
+from .grammar import All, Any_, Bound, Expr, Literal, Record, Reference, Where, quoted
 
 KINDS = {"int": (int,), "number": (int, float), "string": (str,), "bool": (bool,), "null": (type(None),)}
 CONSTANTS = {"true": True, "false": False, "null": None}
@@ -85,7 +85,8 @@
 
     record: Optional["Struct"]
     outer: Optional["Env"]
-    closed: bool = False
+    closed: bool = False  # what stands here is within a definition, and says all that there is
+    shuts: bool = False  # definitions that stand here close what they hold: the schema's, not an operator's
 
 
 @dataclass
@@ -115,7 +116,7 @@
         self.known: Dict[str, Any] = {}
         self.busy: set = set()
         self.faults: List[Fault] = []
-        inner = [Env(self, text.env, text.closed) for text in texts]
+        inner = [Env(self, text.env, text.closed, text.env.shuts) for text in texts]
         for text, env in zip(texts, inner, strict=True):
             for entry in text.record.entries:
                 self.fields.setdefault(entry.name, []).append(Conjunct(entry.of, env))
@@ -217,7 +218,13 @@
         return Bottom(Fault(of.at, path, f"the unknown name '{first}'", hint))
     if first.startswith("#"):  # what a definition holds is all that there is
         texts, at = scope.record.fields[first], scope.record.places[first]
-        shut = [Conjunct(each.of, Env(each.env.record, each.env.outer, True)) for each in texts]
+        shut = [
+            Conjunct(
+                each.of,
+                Env(each.env.record, each.env.outer, each.env.closed or each.env.shuts, each.env.shuts),
+            )
+            for each in texts
+        ]
         value = together(shut, path, at)
     else:
         value = scope.record.value(first)
@@ -247,7 +254,8 @@
 
 
 def narrowed(parts: List[Tuple[Any, bool]], at: Where, path: str) -> Any:
-    """A choice of what is possible among these; nothing possible is the last one's fault, told as a choice."""
+    """A choice of what is possible among these; nothing possible is the last one's fault, told as a
+    choice."""
     kept: List[Tuple[Any, bool]] = []
     for value, mark in parts:
         if isinstance(value, Bottom) or faults_of(value):
@@ -297,7 +305,7 @@
     if isinstance(value, Wanted):
         words = [value.kind] if value.kind and not value.unit else []
         if value.unit:
-            words.append(f"a {value.unit} such as {units.UNITS[value.unit].example}")
+            words.append(f"a {value.unit.lower()} such as {units.UNITS[value.unit].example}")
         words += [f"{op}{printed(of)}" for op, of in value.bounds]
         return " & ".join(words) if words else "anything"
     if isinstance(value, Choice):
--- a/ironhinge/settings/units.py
+++ b/ironhinge/settings/units.py
@@ -1,4 +1,5 @@
-"""Owns texts with units: sizes, rates, spans and money. It must never round what was written but to whole units.
+"""Owns texts with units: sizes, rates, spans and money. It must never round what was written but to whole
+units.
 
 Sizes are bytes (KB is 1,000, KiB 1,024), rates bytes a second, spans tenths of a millisecond.
 """
@@ -34,9 +35,9 @@
 
 
 UNITS: Dict[str, Unit] = {
-    "size": Unit(Size, SIZES, "", '"2TB"'),
-    "rate": Unit(Rate, SIZES, "/s", '"40MB/s"'),
-    "span": Unit(Span, SPANS, "", '"30d"'),
+    "Size": Unit(Size, SIZES, "", '"2TB"'),
+    "Rate": Unit(Rate, SIZES, "/s", '"40MB/s"'),
+    "Span": Unit(Span, SPANS, "", '"30d"'),
 }
 
 
--- /dev/null
+++ b/ironhinge/traffic/keeper.py
@@ -0,0 +1,200 @@
+"""Owns the ledger's I/O: what the director tells it, its clock, its snapshots on disk and its metrics.
+
+It must never decide: it hands on what happened, and writes what the ledger says in the background. A disk
+that is slow or full costs the report its freshness and a req nothing.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+from functools import partial
+from pathlib import Path
+from typing import Callable, Dict, List, NamedTuple, Optional, Tuple
+
+import anyio
+from loguru import logger
+
+from .. import interface as face
+from ..settings import records
+from .ledger import Ledger
+from .snapshot import Snapshot, Torn, newest, pack, unpack
+from .types import Doing, Ended, Heard, Note, Sent, Tell, Tick
+
+ENDS = ".traffic"
+TICK = 0.1  # seconds
+PATIENCE = 5  # seconds that a slow disk may take before it is said
+
+
+def file_name(name: str) -> str:
+    return re.sub(r"[^A-Za-z0-9_.-]", "_", name or "director") + ENDS
+
+
+def read_folder(folder: Path) -> Tuple[List[Snapshot], List[str]]:
+    """The whole snapshots of a folder, and what is wrong with the others."""
+    found, wrong = [], []
+    for path in sorted(folder.glob("*" + ENDS)):
+        try:
+            found.append(unpack(path.read_bytes()))
+        except (OSError, Torn) as fault:
+            wrong.append(f"{path}: {fault}")
+    return found, wrong
+
+
+def replace(path: Path, data: bytes) -> None:
+    """In one step: whoever reads finds the old one or the new one. Guards against being killed while
+    writing."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    beside = path.with_suffix(".part")
+    with open(beside, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(beside, path)
+
+
+class Origin(NamedTuple):
+    """Who keeps the account."""
+
+    name: str
+    zones: Tuple[str, ...]
+    vhosts: Tuple[str, ...]
+    me: int  # its place among the peers
+
+
+class Keeper:
+    """The account of one director, as its front uses it."""
+
+    def __init__(
+        self,
+        told: records.Traffic,
+        facts: face.Deployment,
+        who: Origin,
+        now: Callable[[], int],
+        unix_ms: Callable[[], int],
+    ):
+        self.told, self.facts, self.who = told, facts, who
+        self.now, self.unix_ms = now, unix_ms
+        self.life, self.number = unix_ms(), 0
+        self.tell: Callable[[bytes], None] = lambda data: None
+        self.rows: Dict[str, face.NodeRow] = {}
+        self.writing = False
+        self.ledger = self._ledger(told)
+        self._restore()
+
+    def _ledger(self, told: records.Traffic) -> Ledger:
+        who = self.who
+        return Ledger(told, self.facts, who.zones, who.vhosts, self.now(), self.unix_ms(), who.me, self.life)
+
+    def _path(self) -> Optional[Path]:
+        return Path(self.told.keep.folder) / file_name(self.who.name) if self.told.keep else None
+
+    def _restore(self) -> None:
+        path = self._path()
+        if path is None or not path.exists():
+            return
+        try:
+            found = newest([unpack(path.read_bytes())])
+        except (OSError, Torn) as fault:
+            logger.warning("traffic: {}: {}; the account begins anew", path, fault)
+            return
+        if found is not None:
+            self._do(self.ledger.restore(found.plain, self.now()))
+
+    def follow(self, told: records.Traffic) -> None:
+        """New settings, between two steps: the account goes on, and what a budget of the same name has
+        spent."""
+        old, self.told = self.ledger, told
+        self.ledger = self._ledger(told)
+        self.ledger.step(self.now(), face.Listed(True, tuple(self.rows.values())))
+        self._do(self.ledger.restore(old.plain(True), self.now()))
+        self.ledger.fills = old.fills  # what is out is settled where it was charged
+        self.ledger.means, self.ledger.crossed = old.means, old.crossed
+        if old.sharing is not None and self.ledger.sharing is not None:
+            self.ledger.sharing.peers = old.sharing.peers  # a grant taken once must not be taken again
+
+    def _do(self, acts: List[Doing]) -> None:
+        for act in acts:
+            if isinstance(act, Tell):
+                self.tell(act.data)
+            elif isinstance(act, Note):
+                logger.info("traffic: {}", act.text)
+
+    # What the director says
+
+    def wait(self, now: int, came: face.ReqCame, source: str) -> int:
+        return self.ledger.wait(now, came, source)
+
+    def listed(self, now: int, what: face.Listed) -> None:
+        if what.whole:
+            self.rows = {}
+        for row in what.rows:
+            self.rows[row.id] = row
+            if row.state == "gone":
+                del self.rows[row.id]
+        self._do(self.ledger.step(now, what))
+
+    def sent(self, now: int, came: face.ReqCame, node: str, source: str, how: Dict[str, str]) -> None:
+        rank, renew = int(how.get("shelf", "0")), "renew" in how.get("hints", "")
+        self._do(self.ledger.step(now, Sent(came, node, source, rank, renew)))
+
+    def ended(
+        self,
+        now: int,
+        came: face.ReqCame,
+        result: str,
+        note: int,
+        body: Optional[int],
+        took: int,
+        gone: bool,
+    ) -> None:
+        self._do(self.ledger.step(now, Ended(came.id, result, note, body, took, gone)))
+
+    def heard(self, now: int, sender: int, data: bytes) -> bool:
+        """True when the datagram was one of the account's."""
+        if self.ledger.sharing is None:
+            return False
+        self._do(self.ledger.step(now, Heard(sender, data)))
+        return True
+
+    # In the background
+
+    async def keep(self) -> None:
+        """Ticks, and writes a snapshot now and then, for as long as the program runs."""
+        waited = 0.0
+        while True:
+            await anyio.sleep(TICK)
+            waited += TICK
+            self._do(self.ledger.step(self.now(), Tick(self.unix_ms())))
+            if self.told.keep is not None and waited >= self.told.keep.every / 10_000 and not self.writing:
+                waited = 0.0
+                await self._write()
+
+    def packed(self, clean: bool) -> bytes:
+        self.number += 1
+        return pack(Snapshot(self.who.name, self.life, self.number, self.ledger.plain(clean)))
+
+    async def _write(self) -> None:
+        path = self._path()
+        if path is None:
+            return
+        data, self.writing = self.packed(False), True
+        try:
+            with anyio.move_on_after(PATIENCE) as scope:
+                await anyio.to_thread.run_sync(partial(replace, path, data), abandon_on_cancel=True)
+            if scope.cancelled_caught:
+                logger.warning("traffic: {}: the disk takes longer than {} s", path, PATIENCE)
+        except OSError as fault:
+            logger.warning("traffic: {}: {}", path, fault)
+        finally:
+            self.writing = False
+
+    def close(self) -> None:
+        """The last snapshot says that nothing is missing after it."""
+        path = self._path()
+        if path is None:
+            return
+        try:
+            replace(path, self.packed(True))
+        except OSError as fault:
+            logger.warning("traffic: {}: {}", path, fault)
--- /dev/null
+++ b/ironhinge/traffic/ledger.py
@@ -0,0 +1,413 @@
+"""The one entry point of the account and its budgets: `step` takes what happened and gives what is to be
+done, `wait` tells the one module whether a source's budgets have room.
+
+How bytes are known. A fill's bytes are those of its answer, where the note says that it was a fill. A hit
+and a joined fill carry none (whoever began the fill has them). An answer that the client's own copy stands
+for, a renewal behind an old copy, and a fill that broke off or outlived its client are guessed: its size
+(told, or the mean of its vhost's answers) times the part of its usual time that it had. Guessed bytes are
+told apart.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Dict, List, NamedTuple, Optional, Sequence, Tuple
+
+from .. import interface as face
+from ..brain import mix, salt
+from ..settings import records
+from .account import Account
+from .budget import NEVER, Budget, RatePot
+from .calendar import Calendar
+from .share import Sharing
+from .streams import Streams
+from .types import PLACES, Crossing, Doing, Ended, Heard, Note, Sent, Tick, Told, Use, Way
+
+FILLED = 2, 3  # notes of answers that a fill of their own brought
+BY_ORIGIN = 3
+OLD = 5
+NO_BYTES = 1, 4, 6, 8, 9, 10  # found, joined, and sources that gave nothing
+SURE = "unsent", "cut", "unconnected", "full", "miss"  # ends before which nothing crossed
+REMEMBER = 6_000_000  # for how long a hub that went is reckoned with, where no budget says
+LATELY = 0.05  # weight of the newest answer in means
+SECOND = 10_000
+
+
+class Place(NamedTuple):
+    """A node as the account knows it."""
+
+    zone: int
+    kind: int
+    salt: int
+
+
+class Fill:
+    """A dispatch that is out and may carry bytes across."""
+
+    __slots__ = (
+        "came",
+        "way",
+        "into",
+        "out_of",
+        "kept",
+        "renew",
+        "forced",
+        "guess",
+        "at",
+        "charges",
+        "again",
+    )
+
+    def __init__(self, came: face.ReqCame, way: Way, into: int, out_of: int, at: int):
+        self.came, self.way, self.into, self.out_of, self.at = came, way, into, out_of, at
+        self.kept = self.renew = self.forced = self.again = False
+        self.guess = 0.0
+        self.charges: List[Tuple[Budget, List[RatePot], float]] = []
+
+
+class Means:
+    """What answers of a vhost were like: bytes, and how long a fill takes a byte, where its source held the
+    object and where that had to ask the origin first."""
+
+    __slots__ = ("body", "most", "time", "time_behind", "behind")
+
+    def __init__(self) -> None:
+        self.body = self.most = self.time = self.time_behind = self.behind = 0.0
+
+    def learn(self, body: int, took: int, behind: bool) -> None:
+        self.body += (body - self.body) * (LATELY if self.body else 1.0)
+        self.most = max(float(body), self.most * (1 - LATELY))
+        self.behind += LATELY * (behind - self.behind)
+        pace = took / body
+        if behind:
+            self.time_behind += (pace - self.time_behind) * (LATELY if self.time_behind else 1.0)
+        else:
+            self.time += (pace - self.time) * (LATELY if self.time else 1.0)
+
+    def part(self, size: float, took: int) -> float:
+        """The part of a fill that should have crossed by then: nothing does while the source asks the origin,
+        and one that takes longer than where the source has it is one of those."""
+        if not size or not (self.time or self.time_behind):
+            return 1.0
+        sends = size * (self.time or self.time_behind)
+        waits = max(0.0, size * self.time_behind - sends)
+        held = min(1.0, took / sends) if took < sends else 0.0
+        asked = min(1.0, max(0.0, took - waits) / sends)
+        return (1 - self.behind) * held + self.behind * asked if took < sends else asked
+
+
+class Ledger:
+    def __init__(
+        self,
+        told: records.Traffic,
+        facts: face.Deployment,
+        zones: Sequence[str],
+        vhosts: Sequence[str],
+        now: int,
+        unix_ms: int,
+        me: int = 0,
+        incarnation: int = 0,
+    ):
+        self.told, self.facts = told, facts
+        self.zones, self.vhosts = tuple(zones), tuple(vhosts)
+        self.calendar = Calendar(max(1, told.period // 10), now, unix_ms)
+        self.account = Account(max(1, told.period // 10))
+        self.nodes: Dict[str, Place] = {}
+        self.hubs: Dict[
+            str, Place
+        ] = {}  # parents that should be there: listed ones, and those that went lately
+        self.went: Dict[str, int] = {}
+        self.fills: Dict[str, Fill] = {}
+        self.crossed: Dict[str, None] = {}  # open reqs for which bytes have crossed already
+        self.means = [Means() for _ in vhosts]
+        self.per_kb, self.kb = 1000.0, 0.0  # bytes on the socket a KB that reqs tell; and over how many KB
+        ends, left = self.calendar.ends(), self.calendar.left()
+        self.budgets: Dict[str, Budget] = {}
+        for name, one in told.budgets.items():
+            among = facts.routers_here if one.scope == "branch" else facts.routers
+            self.budgets[name] = Budget(name, one, 1.0 / max(1, among), now, ends, left)
+        for name, one in told.budgets.items():
+            self.budgets[name].above = self.budgets[one.within] if one.within else None
+        spans = [one.streams for one in told.budgets.values() if one.streams is not None]
+        self.streams: Optional[Streams] = None
+        if spans:
+            idle, interval = max(one.idle for one in spans), min(one.interval for one in spans)
+            self.streams = Streams(told.most_streams, idle, interval)
+        emergencies = [one.emergency.remember for one in told.budgets.values() if one.emergency]
+        self.remember = max(emergencies, default=REMEMBER)
+        self.sharing = Sharing(told.share, self.budgets, me, incarnation) if told.share else None
+        self.matches: Dict[Tuple[int, int, Way], Tuple[Budget, ...]] = {}
+        self.unknown_ms = 0  # of this period: time in which it was not running, and nothing was booked
+        self.period = self.calendar.start()
+        self.acts: List[Doing] = []
+
+    # What happens
+
+    def step(self, now: int, what: Told) -> List[Doing]:
+        """The entry point."""
+        self.acts = []
+        if isinstance(what, Sent):
+            self._sent(now, what)
+        elif isinstance(what, Ended):
+            self._ended(now, what)
+        elif isinstance(what, face.Listed):
+            self._listed(now, what)
+        elif isinstance(what, Tick):
+            self._tick(now, what.unix_ms)
+        elif isinstance(what, Heard) and self.sharing is not None:
+            self.sharing.heard(now, what.sender, what.data)
+        return self.acts
+
+    def _tick(self, now: int, unix_ms: int) -> None:
+        self.calendar.read(now, unix_ms)
+        start = self.calendar.start()
+        if start != self.period:
+            self.period, self.unknown_ms = start, 0
+            for budget in self.budgets.values():
+                budget.begin_period(now, self.calendar.ends())
+            self.acts.append(Note(f"a billing period has begun at Unix millisecond {start}"))
+        if self.streams is not None:
+            self.streams.lapse(now)
+        for name in [name for name, at in self.went.items() if now > at + self.remember]:
+            del self.went[name], self.hubs[name]
+        if self.sharing is not None:
+            self.acts += self.sharing.tick(now)
+
+    def _listed(self, now: int, what: face.Listed) -> None:
+        if what.whole:
+            here = {row.id for row in what.rows}
+            for name in [name for name in self.nodes if name not in here]:
+                self._gone(now, name)
+        for row in what.rows:
+            if row.state == "gone":
+                self._gone(now, row.id)
+                continue
+            place = self.nodes[row.id] = Place(row.zone, row.kind, salt(row.id))
+            if row.kind == self.facts.parent_kind:
+                self.hubs[row.id] = place
+                self.went.pop(row.id, None)
+
+    def _gone(self, now: int, name: str) -> None:
+        self.nodes.pop(name, None)
+        if name in self.hubs and name not in self.went:
+            self.went[name] = now
+            while len(self.went) > max(8, 2 * len(self.nodes)):  # guards the memory on days of replacements
+                first = next(iter(self.went))
+                del self.went[first], self.hubs[first]
+
+    # What the module asks
+
+    def wait(self, now: int, came: face.ReqCame, source: str) -> int:
+        """0 where the budgets of that source have room for this req's fill, else the time until they
+        should."""
+        place = self.nodes.get(source)
+        if place is None:
+            return 0
+        budgets = self._matching(came.vhost, place)
+        if not budgets:
+            return 0
+        need, begun = self.size(came), False
+        if self.streams is not None and self.facts.vhosts[came.vhost].parts:
+            stream = self.streams.find((came.viewer, came.obj), now)
+            begun = stream is not None
+            if stream is None:
+                rate = self.streams.rate(came.vhost, need)
+                if any(each.book is not None and not each.book.admits(rate) for each in budgets):
+                    self._refused(budgets, need)
+                    return int(self.streams.gap(came.vhost)) + 1
+        forced = self._forced(came, source, place)
+        wait = max(budget.wait(now, need, begun, forced)[0] for budget in budgets)
+        if wait:
+            self._refused(budgets, need)
+        return min(wait, NEVER)
+
+    def _refused(self, budgets: Tuple[Budget, ...], need: float) -> None:
+        for budget in budgets:
+            budget.refused += 1
+            budget.wanted += need
+
+    def size(self, came: face.ReqCame) -> float:
+        """The bytes that its fill should carry: what is told, else the most that its vhost's lately were."""
+        return came.size * self.per_kb if came.size else self.means[came.vhost].most
+
+    def _way(self, place: Place) -> Way:
+        facts = self.facts
+        if place.kind == facts.origin_kind:
+            return Way.ORIGIN
+        if place.kind != facts.parent_kind:
+            return Way.NEIGHBOUR
+        own = facts.hub_of[facts.zone] if facts.zone < len(facts.hub_of) else facts.zone
+        return Way.OWN_HUB if place.zone == own else Way.OTHER_HUB
+
+    def _matching(self, vhost: int, place: Place) -> Tuple[Budget, ...]:
+        """The budgets that a fill falls under, with those above them."""
+        key = vhost, place.zone, self._way(place)
+        found = self.matches.get(key)
+        if found is None:
+            here: Dict[str, Budget] = {}
+            for budget in self.budgets.values():
+                told = budget.told
+                if (
+                    key[2] in [PLACES[way] for way in told.ways]
+                    and (told.into is None or self._zone(self.facts.zone) == told.into)
+                    and (told.out_of is None or self._zone(place.zone) == told.out_of)
+                    and (told.vhosts is None or self.vhosts[vhost] in told.vhosts)
+                ):
+                    above: Optional[Budget] = budget
+                    while above is not None:
+                        here[above.name] = above
+                        above = above.above
+            found = self.matches[key] = tuple(here.values())
+        return found
+
+    def _zone(self, place: int) -> str:
+        return self.zones[place] if 0 <= place < len(self.zones) else ""
+
+    def _forced(self, came: face.ReqCame, source: str, place: Place) -> bool:
+        """True when another hub should have served it: the first of its hash order over all hubs that are
+        listed, or went lately. Told from crossings that the order itself chose."""
+        if place.kind not in (self.facts.parent_kind, self.facts.origin_kind) or not self.hubs:
+            return False
+        home = mix(came.obj, 0)
+        first = max(self.hubs, key=lambda name: mix(home, self.hubs[name].salt))
+        return first != source
+
+    # What goes out and comes to its end
+
+    def _sent(self, now: int, what: Sent) -> None:
+        came, node = what.came, self.nodes.get(what.node)
+        if node is None:
+            return
+        behind = node.kind in (self.facts.parent_kind, self.facts.origin_kind)
+        name = what.node if behind else what.source  # past the caches the node itself is what bytes come from
+        source = self.nodes.get(name)
+        if source is None:
+            return
+        fill = Fill(came, self._way(source), self.facts.zone, source.zone, now)
+        fill.kept, fill.renew = bool(what.rank) and not behind, what.renew
+        fill.forced = self._forced(came, name, source)
+        fill.again = came.id in self.crossed
+        fill.guess = self.size(came)
+        self.fills[came.id] = fill
+        budgets = self._matching(came.vhost, source)
+        if not budgets:
+            return
+        parts = self.streams is not None and self.facts.vhosts[came.vhost].parts
+        key = came.viewer, came.obj
+        begun = bool(parts and self.streams and self.streams.find(key, now))
+        for budget in budgets:
+            _, pots = budget.wait(now, fill.guess, begun, fill.forced)
+            budget.charge(pots, fill.guess)
+            fill.charges.append((budget, pots, fill.guess))
+            budget.wanted = max(0.0, budget.wanted - fill.guess)
+        if parts and self.streams is not None:
+            books = [budget.book for budget in budgets if budget.book is not None]
+            self.streams.part_came(key, came.vhost, fill.guess, now, books)
+
+    def _ended(self, now: int, what: Ended) -> None:
+        fill = self.fills.pop(what.id, None)
+        if fill is None:
+            if what.gone:
+                self.crossed.pop(what.id, None)
+            return
+        came, means = fill.came, self.means[fill.came.vhost]
+        carried, guessed = self._carried(fill, what)
+        if what.result == "done" and what.body:
+            if came.size and what.body:  # bytes on the socket for each KB told: the same everywhere
+                self.kb = min(self.kb + came.size, 1e6)
+                self.per_kb += (what.body / came.size - self.per_kb) * came.size / self.kb
+            if what.note in FILLED:
+                means.learn(what.body, what.took, what.note == BY_ORIGIN)
+        use = Use.KEPT if fill.kept else Use.UNKEPT
+        if what.result != "done" or (what.gone and what.body is None) or what.note == OLD:
+            use = Use.WASTED
+        elif fill.again:
+            use = Use.REPEATED
+        if carried:
+            crossing = Crossing(fill.into, fill.out_of, fill.way, use, came.vhost, fill.forced)
+            behind = carried if what.note == BY_ORIGIN and fill.way is not Way.ORIGIN else 0
+            self.account.add(self.calendar.at(now), crossing, 1, carried, guessed, behind)
+        for budget, pots, charged in fill.charges:
+            budget.settle(pots, charged, carried)
+        if what.gone or what.result == "done":
+            self.crossed.pop(what.id, None)
+        elif carried:
+            self.crossed[what.id] = None
+            if len(self.crossed) > self.told.most_streams:  # guards the memory: an end that is never told
+                del self.crossed[next(iter(self.crossed))]
+
+    def _carried(self, fill: Fill, what: Ended) -> Tuple[int, int]:
+        """Bytes that crossed, and how many of them are guessed."""
+        if what.result in SURE or what.note in NO_BYTES:
+            return 0, 0
+        if what.result == "done":
+            if what.note in FILLED or not what.note:
+                if what.body is not None:
+                    return what.body, 0 if what.note else what.body
+                return int(fill.guess), int(fill.guess)  # the client's copy stands for it
+            return (int(fill.guess), int(fill.guess)) if fill.renew else (0, 0)
+        guess = int(fill.guess * self.means[fill.came.vhost].part(fill.guess, what.took))
+        return guess, guess
+
+    # What is kept and told
+
+    def spans(self) -> Dict[str, Any]:
+        """The state of the budgets, for reports."""
+        out: Dict[str, Any] = {}
+        for name, budget in self.budgets.items():
+            told = budget.told
+            out[name] = {
+                "spent": budget.spent,
+                "drawn": budget.drawn,
+                "refused": budget.refused,
+                "sum": told.sum * budget.part if told.sum is not None else None,
+                "rate": told.rate * budget.part if told.rate is not None else None,
+                "left": next((pot.plain()[-1] for pot in budget.pots if len(pot.plain()) > 1), None),
+                "streams": budget.book.open if budget.book is not None else None,
+            }
+        return out
+
+    def plain(self, clean: bool) -> Dict[str, Any]:
+        """All that a restart has to know, as plain values."""
+        return {
+            "zones": list(self.zones),
+            "vhosts": list(self.vhosts),
+            "zone": self.facts.zone,
+            "unix": self.calendar.unix,
+            "period": self.period,
+            "period_ms": self.calendar.length,
+            "clean": clean,
+            "unknown_ms": self.unknown_ms,
+            "per_kb": [self.per_kb, self.kb],
+            "account": self.account.plain(),
+            "budgets": {name: budget.plain() for name, budget in self.budgets.items()},
+            "spans": self.spans(),
+        }
+
+    def restore(self, plain: Dict[str, Any], now: int) -> List[Doing]:
+        """Takes up a snapshot. What it can't know, the time since it was taken, counts as spent in the
+        budgets and is told as unknown in the account: it is never made up."""
+        if tuple(plain["zones"]) != self.zones or tuple(plain["vhosts"]) != self.vhosts:
+            return [Note("the snapshot is of another deployment: begun anew")]
+        if plain["period_ms"] != self.calendar.length:
+            return [Note("the snapshot has billing periods of another length: begun anew")]
+        gap = max(0, self.calendar.at(now) - plain["unix"])
+        self.calendar.unix = max(self.calendar.unix, plain["unix"])  # a clock that was set back since
+        self.period = self.calendar.start()
+        self.account.restore(plain["account"])
+        self.per_kb, self.kb = plain["per_kb"]
+        if plain["period"] != self.period:
+            return [
+                Note("the snapshot is of an earlier period: its account goes on, its budgets are begun anew")
+            ]
+        unclean = 0 if plain["clean"] else gap
+        self.unknown_ms = plain["unknown_ms"] + unclean
+        for name, budget in self.budgets.items():
+            if name in plain["budgets"]:
+                budget.restore(plain["budgets"][name], now, unclean / 1000)
+        if unclean:
+            return [
+                Note(
+                    f"{unclean} ms before this start are not in the account; the budgets count them as spent"
+                )
+            ]
+        return []
