--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -65,6 +65,39 @@
     """A router before tiers of caches with one origin behind them."""
 
 
+def read_operations(config: str, operations: Tuple[str, ...]) -> Any:
+    """The operators' records, or none without files; ValueError says what is wrong with them."""
+    if not operations:
+        return None
+    from .settings.apart import Refused, read
+
+    try:
+        return read(operations, config)
+    except Refused as fault:
+        raise ValueError(str(fault)) from None
+
+
+def operations_or_end(config: str, operations: Tuple[str, ...]) -> Any:
+    """The same; what is wrong ends the program with code 2."""
+    try:
+        return read_operations(config, operations)
+    except ValueError as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(2)
+
+
+def open_books(told: Assignment, operations: Any) -> Any:
+    """What keeps the account, where the operations turn it on."""
+    if operations is None or operations.traffic is None:
+        return None
+    from .net.director import Clock
+    from .traffic.keeper import Keeper, Origin
+
+    me = told.peers.index(told.peer_listen) if told.peer_listen in told.peers else 0
+    who = Origin(told.name, told.names.zones, told.names.vhosts, me)
+    return Keeper(operations.traffic, told.deployment, who, Clock.now, Clock.unix_ms)
+
+
 @main.command()
 @what_is_told
 @operations_option
@@ -82,85 +115,23 @@
     logger.remove()
     logger.add(sys.stderr, level=log_level.upper(), format=LINE, diagnose=False, backtrace=False)
     told = read_or_end(config, name, listen)
-    books = open_books(told, operations)
-
-    def read_again() -> Assignment:
-        again = read(config, name, listen)
-        if operations:
-            follow_operations(again, operations, books)
-        return again
-
+    books = open_books(told, operations_or_end(config, operations))
+    if books is not None:
+        books.reread = lambda: read_operations(config, operations)
     try:
-        run(told, read_again, books)
+        run(told, lambda: read(config, name, listen), books)
     except* OSError as faults:  # the address is taken or not ours
         click.echo(f"ironhinge: {told.listen.host}:{told.listen.port}: {faults.exceptions[0]}", err=True)
         sys.exit(1)
 
 
-def open_books(told: Assignment, operations: Tuple[str, ...]) -> Any:
-    """What keeps the account, where the operations files turn it on; what is wrong with them ends the program
-    with code 2, all of it told."""
-    if not operations:
-        return None
-    from .settings.cli import loaded
-    from .settings.load import against
-
-    found = loaded(operations, False)
-    faults = against(found, told.names.zones, told.names.vhosts)
-    for fault in faults:
-        click.echo(str(fault), err=True)
-    if faults:
-        sys.exit(2)
-    if found.operations.traffic is None:
-        return None
-    from .net.director import Clock
-    from .traffic.keeper import Keeper, Origin
-
-    me = told.peers.index(told.peer_listen) if told.peer_listen in told.peers else 0
-    who = Origin(told.name, told.names.zones, told.names.vhosts, me)
-    return Keeper(found.operations.traffic, told.deployment, who, Clock.now, Clock.unix_ms)
-
-
-def open_books_check(told: Assignment, operations: Tuple[str, ...]) -> None:
-    """The same check without opening anything."""
-    if operations:
-        from .settings.cli import loaded
-        from .settings.load import against
-
-        faults = against(loaded(operations, False), told.names.zones, told.names.vhosts)
-        for fault in faults:
-            click.echo(str(fault), err=True)
-        if faults:
-            sys.exit(2)
-
-
-def follow_operations(told: Assignment, operations: Tuple[str, ...], books: Any) -> None:
-    """New settings take effect between two steps; a bad file changes nothing and is said."""
-    from .settings.load import Wrong, against, load
-
-    try:
-        found = load(operations)
-        faults = against(found, told.names.zones, told.names.vhosts)
-    except (OSError, Wrong) as fault:
-        return logger.error("SIGHUP: {}; the old settings hold", fault)
-    for each in faults:
-        logger.error("SIGHUP: {}; the old settings hold", each)
-    if faults:
-        return
-    if (found.operations.traffic is None) is not (books is None):
-        logger.warning("SIGHUP: turning the account on or off takes a restart")
-    elif books is not None:
-        books.follow(found.operations.traffic)
-        logger.info("SIGHUP: the settings of {} hold from now on", ", ".join(operations))
-
-
 @main.command()
 @what_is_told
 @operations_option
 def check(config: str, name: Optional[str], listen: Optional[str], operations: Tuple[str, ...]) -> None:
     """Say what is wrong with a configuration and its operations files, or what they would start."""
     told = read_or_end(config, name, listen)
-    open_books_check(told, operations)
+    operations_or_end(config, operations)
     nodes = {listing.row.id for news in told.known for listing in getattr(news, "listings", ())}
     click.echo(
         f"{told.name or 'a director'} on {told.listen.host}:{told.listen.port}: "
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -56,8 +56,8 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
         async with anyio.create_task_group() as tasks:
             director = _start(told, poll, tasks, books)
-            await _until_told_to_leave(signals, director, read_again)
-            tasks.start_soon(_until_told_to_leave, signals, None, read_again)  # none may end it any more
+            await _until_told_to_leave(signals, director, read_again, books)
+            tasks.start_soon(_until_told_to_leave, signals, None, read_again, books)  # it is ending already
             await _leave(director)
             if books is not None:
                 books.close()
@@ -65,13 +65,18 @@
 
 
 async def _until_told_to_leave(
-    signals: AsyncIterator[signal.Signals], director: Optional[Director], read_again: Callable[[], Assignment]
+    signals: AsyncIterator[signal.Signals],
+    director: Optional[Director],
+    read_again: Callable[[], Assignment],
+    books: Any,
 ) -> None:
     async for number in signals:
         if director is None:
             continue
         if number != signal.SIGHUP:
             return
+        if books is not None:
+            director.driver.tasks.start_soon(books.follow_files)
         try:
             director.follow_anew(read_again())
         except (OSError, ValueError, Malformed) as fault:
--- a/ironhinge/settings/cli.py
+++ b/ironhinge/settings/cli.py
@@ -4,7 +4,7 @@
 
 import json
 import sys
-from typing import Tuple
+from typing import Any, Optional, Tuple
 
 import click
 
@@ -15,15 +15,33 @@
 
 
 files_argument = click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
+config_option = click.option(
+    "--config",
+    type=click.Path(dir_okay=False),
+    help="A director's configuration: zones and vhosts that it lacks are errors.",
+)
 json_option = click.option("--json", "as_json", is_flag=True, help="One JSON object instead of text.")
 
 
-def loaded(files: Tuple[str, ...], as_json: bool):
+def loaded(files: Tuple[str, ...], as_json: bool = False, config: Optional[str] = None) -> Any:
     """The settings of these files; what is wrong with them ends the program with code 2, all of it told."""
-    from .load import Wrong, load
+    from .load import Wrong, against, load
 
     try:
-        return load(files)
+        found = load(files)
+        if config is not None:
+            from ..facts import Malformed, assignment
+
+            try:
+                with open(config, encoding="utf-8") as file:
+                    names = assignment(json.load(file)).names
+            except (ValueError, Malformed) as malformed:
+                click.echo(f"ironhinge: {config}: {malformed}", err=True)
+                sys.exit(2)
+            faults = against(found, names.zones, names.vhosts)
+            if faults:
+                raise Wrong(faults)
+        return found
     except Wrong as wrong:
         if as_json:
             rows = [
@@ -42,10 +60,11 @@
 
 @settings.command()
 @files_argument
+@config_option
 @json_option
-def check(files: Tuple[str, ...], as_json: bool) -> None:
+def check(files: Tuple[str, ...], config: Optional[str], as_json: bool) -> None:
     """Say all that is wrong with FILES taken together; code 0 if nothing is."""
-    traffic = loaded(files, as_json).operations.traffic
+    traffic = loaded(files, as_json, config).operations.traffic
     count = len(traffic.budgets) if traffic else 0
     if as_json:
         click.echo(json.dumps({"good": True, "traffic": traffic is not None, "budgets": count}))
@@ -56,12 +75,13 @@
 
 @settings.command()
 @files_argument
+@config_option
 @json_option
-def show(files: Tuple[str, ...], as_json: bool) -> None:
+def show(files: Tuple[str, ...], config: Optional[str], as_json: bool) -> None:
     """Print what FILES come to, unified and with all defaults."""
     from .load import write
 
-    plain = loaded(files, as_json).plain
+    plain = loaded(files, False, config).plain
     click.echo(json.dumps(plain) if as_json else write(plain), nl=as_json)
 
 
--- a/ironhinge/settings/load.py
+++ b/ironhinge/settings/load.py
@@ -9,11 +9,8 @@
 from importlib import resources
 from typing import Any, Dict, Iterable, List, NamedTuple, Optional, Sequence, Tuple
 
-import msgspec
-
-from . import units
 from .grammar import Record, Reference, Unreadable, Where, parse
-from .records import Operations, Traffic
+from .records import Operations, Traffic, from_plain
 from .unify import Env, Fault, Read, Struct, Text, evaluate, finish, printed, unify
 
 ROOT = "#Operations"
@@ -59,14 +56,9 @@
     return read
 
 
-def _decode(kind: type, value: Any) -> Any:
-    name, _ = units.of(kind)
-    return units.parse(name, value)
-
-
 def load_texts(texts: Iterable[Tuple[str, str]]) -> Loaded:
     read = read_texts(texts)
-    operations = msgspec.convert(read.value, Operations, dec_hook=_decode)
+    operations = from_plain(read.value)
     faults = list(_relations(operations, read.places))
     if faults:
         raise Wrong(faults)
--- a/ironhinge/settings/records.py
+++ b/ironhinge/settings/records.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from typing import Dict, Optional, Tuple
+from typing import Any, Dict, Optional, Tuple
 
 import msgspec
 
+from . import units
 from .units import Rate, Size, Span
 
 
@@ -77,3 +78,13 @@
 
 class Operations(msgspec.Struct, frozen=True):
     traffic: Optional[Traffic] = None
+
+
+def _decode(kind: type, value: Any) -> Any:
+    name, _ = units.of(kind)
+    return units.parse(name, value)
+
+
+def from_plain(plain: Any) -> Operations:
+    """The records of a plain value that the schema allows."""
+    return msgspec.convert(plain, Operations, dec_hook=_decode)
--- a/ironhinge/traffic/keeper.py
+++ b/ironhinge/traffic/keeper.py
@@ -10,7 +10,7 @@
 import re
 from functools import partial
 from pathlib import Path
-from typing import Callable, Dict, List, NamedTuple, Optional, Tuple
+from typing import Any, Callable, Dict, List, NamedTuple, Optional, Tuple
 
 import anyio
 from loguru import logger
@@ -65,6 +65,9 @@
 class Keeper:
     """The account of one director, as its front uses it."""
 
+    metrics: Any = None
+    reread: Optional[Callable[[], records.Operations]] = None  # reads the operators' files again
+
     def __init__(
         self,
         told: records.Traffic,
@@ -81,6 +84,10 @@
         self.writing = False
         self.ledger = self._ledger(told)
         self._restore()
+        if told.metrics is not None:
+            from .metrics import Metrics
+
+            self.metrics = Metrics(told.metrics)
 
     def _ledger(self, told: records.Traffic) -> Ledger:
         who = self.who
@@ -101,9 +108,29 @@
         if found is not None:
             self._do(self.ledger.restore(found.plain, self.now()))
 
-    def follow(self, told: records.Traffic) -> None:
+    async def follow_files(self) -> None:
+        """At SIGHUP: reads the operators' files, which takes a process of its own and so a thread; no req and no
+        other signal waits for it. A bad file changes nothing and is said."""
+        if self.reread is None:
+            return
+        try:
+            self.follow(await anyio.to_thread.run_sync(self.reread, abandon_on_cancel=True))
+        except (OSError, ValueError) as fault:
+            logger.error("SIGHUP: {}; the old settings hold", fault)
+
+    def follow(self, operations: records.Operations) -> None:
         """New settings, between two steps: the account goes on, and what a budget of the same name has
         spent."""
+        told = operations.traffic
+        if told is None:
+            return logger.warning("SIGHUP: turning the account off takes a restart")
+        if told == self.told:
+            return
+        if told.metrics != self.told.metrics:
+            logger.warning("SIGHUP: where metrics are shown has changed, which takes a restart")
+        if told.period != self.told.period:
+            return logger.warning("SIGHUP: another length of the billing period takes a restart")
+        logger.info("SIGHUP: new budgets hold from now on: {}", ", ".join(told.budgets) or "none")
         old, self.told = self.ledger, told
         self.ledger = self._ledger(told)
         self.ledger.step(self.now(), face.Listed(True, tuple(self.rows.values())))
@@ -166,6 +193,8 @@
             await anyio.sleep(TICK)
             waited += TICK
             self._do(self.ledger.step(self.now(), Tick(self.unix_ms())))
+            if self.metrics is not None:
+                self.metrics.show(self.ledger)
             if self.told.keep is not None and waited >= self.told.keep.every / 10_000 and not self.writing:
                 waited = 0.0
                 await self._write()
--- a/ironhinge/traffic/ledger.py
+++ b/ironhinge/traffic/ledger.py
@@ -137,6 +137,11 @@
         self.sharing = Sharing(told.share, self.budgets, me, incarnation) if told.share else None
         self.matches: Dict[Tuple[int, int, Way], Tuple[Budget, ...]] = {}
         self.unknown_ms = 0  # of this period: time in which it was not running, and nothing was booked
+        self.shapes: Optional[Any] = None
+        if told.distributions:
+            from .shapes import Shapes
+
+            self.shapes = Shapes(self.vhosts)
         self.period = self.calendar.start()
         self.acts: List[Doing] = []
 
@@ -248,8 +253,8 @@
                 told = budget.told
                 if (
                     key[2] in [PLACES[way] for way in told.ways]
-                    and (told.into is None or self._zone(self.facts.zone) == told.into)
-                    and (told.out_of is None or self._zone(place.zone) == told.out_of)
+                    and (told.into is None or self.zone_name(self.facts.zone) == told.into)
+                    and (told.out_of is None or self.zone_name(place.zone) == told.out_of)
                     and (told.vhosts is None or self.vhosts[vhost] in told.vhosts)
                 ):
                     above: Optional[Budget] = budget
@@ -259,7 +264,7 @@
             found = self.matches[key] = tuple(here.values())
         return found
 
-    def _zone(self, place: int) -> str:
+    def zone_name(self, place: int) -> str:
         return self.zones[place] if 0 <= place < len(self.zones) else ""
 
     def _forced(self, came: face.ReqCame, source: str, place: Place) -> bool:
@@ -317,6 +322,8 @@
                 self.per_kb += (what.body / came.size - self.per_kb) * came.size / self.kb
             if what.note in FILLED:
                 means.learn(what.body, what.took, what.note == BY_ORIGIN)
+                if self.shapes is not None:
+                    self.shapes.add(came.vhost, what.body, what.took)
         use = Use.KEPT if fill.kept else Use.UNKEPT
         if what.result != "done" or (what.gone and what.body is None) or what.note == OLD:
             use = Use.WASTED
@@ -381,6 +388,7 @@
             "account": self.account.plain(),
             "budgets": {name: budget.plain() for name, budget in self.budgets.items()},
             "spans": self.spans(),
+            "shapes": self.shapes.plain() if self.shapes is not None else {},
         }
 
     def restore(self, plain: Dict[str, Any], now: int) -> List[Doing]:
--- a/ironhinge/traffic/report.py
+++ b/ironhinge/traffic/report.py
@@ -114,6 +114,7 @@
             "cuts": {cut: self.by(cut) for cut in cuts},
             "budgets": self.budgets(),
             "money": self.money(prices),
+            "distributions": {one.name: one.plain["shapes"] for one in self.snapshots if one.plain["shapes"]},
         }
 
     def csv(self) -> str:
@@ -200,4 +201,13 @@
     if plain["money"]:
         out.append("")
         out += [f"money        {way:32} {amount:12.4f}" for way, amount in plain["money"].items()]
+    for director, vhosts in plain["distributions"].items():
+        for vhost, row in vhosts.items():
+            sizes, times = row["bytes"], row["ms"]
+            out.append("")
+            out.append(
+                f"{director}, {vhost}: {row['fills']} fills, "
+                f"half up to {size(sizes['50.0'])} and {times['50.0']} ms, "
+                f"99% up to {size(sizes['99.0'])} and {times['99.0']} ms"
+            )
     return "\n".join(out)
