--- /dev/null
+++ b/deploy/operations.cue
@@ -0,0 +1,13 @@
+// The operators' settings of this platform. It has no lasting disk and no listener to spare, so nothing is on:
+// `run` does not name this file. `ironhinge settings schema` prints all that may stand here; docs/traffic.md and
+// docs/operators-traffic.md say what it does.
+//
+// traffic: {
+//     period: "30d"
+//     keep: {folder: "/var/lib/ironhinge/traffic"}
+//     budgets: {
+//         link_in: {ways: ["own-hub", "other-hub", "origin"], rate: "40MB/s", burst: "40MB", streams: {}}
+//         other_hubs: {within: "link_in", rate: "10MB/s", sum: "12TB", emergency: {rate: "10MB/s", sum: "1TB"}}
+//     }
+//     prices: [{ways: ["other-hub"], per_gb: 0.02}, {ways: ["origin"], per_gb: 0.05}]
+// }
--- a/ironhinge/settings/unify.py
+++ b/ironhinge/settings/unify.py
@@ -175,9 +175,9 @@
             return Bottom(Fault(of.at, path, f"a bound of {said(against)}", "a number or a text"))
         if of.op == "=~":
             try:
-                re.compile(str(against.value))
-            except re.error as fault:
-                return Bottom(Fault(of.at, path, f"the pattern {against.value!r}: {fault}", "a pattern"))
+                re.compile(against.value)
+            except (re.error, TypeError) as fault:
+                return Bottom(Fault(of.at, path, f"{printed(against.value)}: {fault}", "a pattern"))
         kind = "string" if of.op == "=~" or isinstance(against.value, str) else "number"
         return Wanted(None if of.op == "!=" else kind, None, ((of.op, against.value),), of.at)
     if isinstance(of, All):
@@ -265,6 +265,14 @@
             kept[twins[0]] = (kept[twins[0]][0], kept[twins[0]][1] or mark)
         else:
             kept.append((value, mark))
+    kept = [
+        (value, mark)
+        for value, mark in kept
+        if not any(within(value, wider) and (also or not mark) for wider, also in kept if wider is not value)
+    ]
+    if len(kept) > 1 and any(isinstance(value, Struct) for value, _ in kept):
+        # which of them is meant could only be told from fields, and what is wrong with one never
+        return Bottom(Fault(at, path, "a choice between records", "one record with optional fields"))
     if not kept:
         faults = [faults_of(value) for value, _ in parts]
         if len(faults) == 1:
@@ -275,11 +283,24 @@
     return kept[0][0] if len(kept) == 1 else Choice(tuple(kept), at)
 
 
+def within(one: Any, wider: Any) -> bool:
+    """True when a kind with bounds allows nothing that the other does not: told twice it would be one
+    thing."""
+    if not isinstance(one, Wanted) or not isinstance(wider, Wanted) or same(one, wider):
+        return False
+    kind = wider.kind in (None, one.kind) or (wider.kind, one.kind) == ("number", "int")
+    return kind and wider.unit in (None, one.unit) and set(wider.bounds) <= set(one.bounds)
+
+
 def same(one: Any, other: Any) -> bool:
     if isinstance(one, Scalar) and isinstance(other, Scalar):
         return type(one.value) is type(other.value) and one.value == other.value
     if isinstance(one, Wanted) and isinstance(other, Wanted):
         return (one.kind, one.unit, set(one.bounds)) == (other.kind, other.unit, set(other.bounds))
+    if isinstance(one, Rows) and isinstance(other, Rows):
+        if one.parts is None or other.parts is None:
+            return one.parts is other.parts and one.rest.of == other.rest.of
+        return len(one.parts) == len(other.parts) and all(map(same, one.parts, other.parts))
     return one is other
 
 
@@ -428,6 +449,8 @@
         ]
         return Rows(tuple(parts), None, one.at)
     if one.parts is None and other.parts is None:
+        if same(one, other):
+            return one
         return Rows(None, Conjunct(All((one.rest.of, other.rest.of), one.at), one.rest.env), one.at)
     whole, rest = (one, other.rest) if one.parts is not None else (other, one.rest)
     parts = [
--- a/ironhinge/settings/units.py
+++ b/ironhinge/settings/units.py
@@ -56,9 +56,10 @@
     """The shortest text that `parse` reads as that figure."""
     unit = UNITS[name]
     fits = [(word, scale) for word, scale in unit.words.items() if figure % scale == 0 and figure >= scale]
-    if not fits:  # less than the smallest unit, or 0
+    if not fits:  # 0, or parts of the smallest unit, which is a power of ten
         word, scale = min(unit.words.items(), key=lambda each: each[1])
-        return f"{figure / scale:g}{word}{unit.per}"
+        part = f".{figure % scale:0{len(str(scale)) - 1}d}" if figure % scale else ""
+        return f"{figure // scale}{part}{word}{unit.per}"
     word, scale = max(fits, key=lambda each: each[1])
     return f"{figure // scale}{word}{unit.per}"
 
--- a/ironhinge/traffic/budget.py
+++ b/ironhinge/traffic/budget.py
@@ -53,8 +53,9 @@
         return [self.level]
 
     def restore(self, plain: List[float], now: int, gap: float) -> None:
-        """From a snapshot after which `gap` bytes may have been spent."""
-        self.level, self.at = min(plain[0], self.cap) - gap, now
+        """From a snapshot; in the `gap` seconds since then all that could be may have been spent: what was in
+        the pot, and what came into it."""
+        self.level, self.at = min(plain[0], self.cap, 0.0 if gap else self.cap), now
 
 
 class SumPot(RatePot):
@@ -95,8 +96,11 @@
 
     def restore(self, plain: List[float], now: int, gap: float) -> None:
         super().restore(plain, now, gap)
-        self.left = min(plain[1], self.most) - gap
+        self.left = min(plain[1], self.most)
         self.pace(now)
+        if gap:
+            self.left -= max(0.0, plain[0]) + self.rate * SECOND * gap
+            self.pace(now)
 
 
 class StreamBook:
@@ -207,6 +211,5 @@
         for mine, theirs in ((self.pots, plain["pots"]), (self.emergency, plain["emergency"])):
             if len(mine) != len(theirs):
                 continue  # the settings have changed: it begins as one that knows nothing
-            gap = min((pot.cap + pot.rate * SECOND * gap_seconds for pot in mine), default=0.0)
             for pot, figures in zip(mine, theirs, strict=True):
-                pot.restore(figures, now, gap if gap_seconds else 0.0)
+                pot.restore(figures, now, gap_seconds)
--- a/ironhinge/traffic/keeper.py
+++ b/ironhinge/traffic/keeper.py
@@ -109,7 +109,7 @@
             self._do(self.ledger.restore(found.plain, self.now()))
 
     async def follow_files(self) -> None:
-        """At SIGHUP: reads the operators' files, which takes a process of its own and so a thread; no req and no
+        """At SIGHUP: reads the operators' files, in a process of its own and so in a thread; no req and no
         other signal waits for it. A bad file changes nothing and is said."""
         if self.reread is None:
             return
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -541,13 +541,15 @@
 class Program:
     """The program as a process of its own."""
 
+    args = ()
+
     def __init__(self, folder, told):
         self.port, self.log = int(told["listen"].split(":")[1]), open(folder / "log", "w+")
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(told))
         env = {**os.environ, "PROXY_CONFIG": str(self.config)}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "ironhinge", "serve"], env=env, stderr=self.log
+            [sys.executable, "-m", "ironhinge", "serve", *self.args], env=env, stderr=self.log
         )
         until = time.monotonic() + PATIENCE
         while True:
