--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that are too long for CI; each prints one JSON object as its last line."""
--- a/ironhinge/lab/nodes.py
+++ b/ironhinge/lab/nodes.py
@@ -14,7 +14,7 @@
 from functools import partial
 from typing import Dict, List, Optional, Set, Tuple
 
-PIECE = 2_000  # bytes written at a time
+PIECE = 500  # bytes written at a time: what a fill that is cut off had on its way is told to that
 Key = Tuple[str, str]
 
 
--- a/ironhinge/traffic/account.py
+++ b/ironhinge/traffic/account.py
@@ -65,6 +65,8 @@
         self.length, self.most, self.full = length, most, full
         self.stretches: "OrderedDict[int, Cells]" = OrderedDict()  # by start, the oldest first
         self.forgotten = 0  # stretches let go
+        self.from_, self.until = 0, 0  # of the stretch used last
+        self.last: Cells = {}
 
     def cells(self, at: int) -> Cells:
         start = at - at % self.length
@@ -81,12 +83,14 @@
         return found
 
     def add(self, at: int, crossing: Crossing, figures: Tuple[int, int, int, int]) -> None:
-        cells = self.cells(at)
-        key = crossing if self.full else coarse(crossing)
-        cell = cells.get(key)
+        if not self.from_ <= at < self.until:
+            self.last = self.cells(at)
+            self.from_ = at - at % self.length
+            self.until = self.from_ + self.length
+        cells = self.last
+        cell = cells.get(crossing)
         if cell is None:
-            if len(cells) >= MOST_KINDS:
-                key = coarse(crossing)
+            key = crossing if len(cells) < MOST_KINDS else coarse(crossing)
             cell = cells.setdefault(key, Cell())
         cell.add(*figures)
 
@@ -103,8 +107,9 @@
     ) -> None:
         """Books bytes at a Unix millisecond."""
         figures = fills, carried, guessed, behind
+        short = coarse(crossing)
         for window in self.windows.values():
-            window.add(at, crossing, figures)
+            window.add(at, crossing if window.full else short, figures)
 
     def rows(self, window: str, start: Optional[int] = None) -> List[Row]:
         """A stretch of a window, the latest where none is named."""
@@ -135,6 +140,7 @@
                     key = Crossing(into, out_of, Way(way), Use(use), vhost, bool(forced))
                     cells.setdefault(key, Cell()).add(*figures)
             window.stretches = OrderedDict(sorted(window.stretches.items()))
+            window.until = 0  # the stretch used last may be another
 
 
 def total(rows: Iterable[Row]) -> int:
--- a/ironhinge/traffic/keeper.py
+++ b/ironhinge/traffic/keeper.py
@@ -206,7 +206,7 @@
         return self.number, pack(Snapshot(self.who.name, self.life, self.number, self.ledger.plain(clean)))
 
     def put(self, path: Path, number: int, data: bytes) -> None:
-        """Guards the last snapshot, which is written at the end, against one of before whose disk was slow."""
+        """Guards the last snapshot, which is written at the end, against an older one on a slow disk."""
         with self.lock:
             if number > self.written:
                 replace(path, data)
--- a/ironhinge/traffic/ledger.py
+++ b/ironhinge/traffic/ledger.py
@@ -27,6 +27,7 @@
 OLD = 5
 NO_BYTES = 1, 4, 6, 8, 9, 10  # found, joined, and sources that gave nothing
 SURE = "unsent", "cut", "unconnected", "full", "miss"  # ends before which nothing crossed
+HOMES = 4096  # objects whose first hub is remembered
 REMEMBER = 6_000_000  # for how long a hub that went is reckoned with, where no budget says
 LATELY = 0.05  # weight of the newest answer in means
 SECOND = 10_000
@@ -38,6 +39,7 @@
     zone: int
     kind: int
     salt: int
+    way: Way
 
 
 class Fill:
@@ -136,6 +138,10 @@
         self.remember = max(emergencies, default=REMEMBER)
         self.sharing = Sharing(told.share, self.budgets, me, incarnation) if told.share else None
         self.matches: Dict[Tuple[int, int, Way], Tuple[Budget, ...]] = {}
+        self.homes: Dict[int, str] = {}  # the first hub of an object, while the hubs are the same
+        self.judged: Optional[Tuple[Any, ...]] = (
+            None  # what the last `wait` found, for the dispatch that follows
+        )
         self.unknown_ms = 0  # of this period: time in which it was not running, and nothing was booked
         self.shapes: Optional[Any] = None
         if told.distributions:
@@ -174,10 +180,13 @@
             self.streams.lapse(now)
         for name in [name for name, at in self.went.items() if now > at + self.remember]:
             del self.went[name], self.hubs[name]
+            self.homes.clear()
         if self.sharing is not None:
             self.acts += self.sharing.tick(now)
 
     def _listed(self, now: int, what: face.Listed) -> None:
+        self.homes.clear()
+        self.judged = None
         if what.whole:
             here = {row.id for row in what.rows}
             for name in [name for name in self.nodes if name not in here]:
@@ -186,7 +195,8 @@
             if row.state == "gone":
                 self._gone(now, row.id)
                 continue
-            place = self.nodes[row.id] = Place(row.zone, row.kind, salt(row.id))
+            way = self._way(row.zone, row.kind)
+            place = self.nodes[row.id] = Place(row.zone, row.kind, salt(row.id), way)
             if row.kind == self.facts.parent_kind:
                 self.hubs[row.id] = place
                 self.went.pop(row.id, None)
@@ -220,10 +230,13 @@
                     self._refused(budgets, need)
                     return int(self.streams.gap(came.vhost)) + 1
         forced = self._forced(came, source, place)
-        wait = max(budget.wait(now, need, begun, forced)[0] for budget in budgets)
+        found = [budget.wait(now, need, begun, forced) for budget in budgets]
+        wait = max([each for each, _ in found])
         if wait:
             self._refused(budgets, need)
-        return min(wait, NEVER)
+            return min(wait, NEVER)
+        self.judged = now, came, source, forced, [pots for _, pots in found]
+        return 0
 
     def _refused(self, budgets: Tuple[Budget, ...], need: float) -> None:
         for budget in budgets:
@@ -234,18 +247,18 @@
         """The bytes that its fill should carry: what is told, else the most that its vhost's lately were."""
         return came.size * self.per_kb if came.size else self.means[came.vhost].most
 
-    def _way(self, place: Place) -> Way:
+    def _way(self, zone: int, kind: int) -> Way:
         facts = self.facts
-        if place.kind == facts.origin_kind:
+        if kind == facts.origin_kind:
             return Way.ORIGIN
-        if place.kind != facts.parent_kind:
+        if kind != facts.parent_kind:
             return Way.NEIGHBOUR
         own = facts.hub_of[facts.zone] if facts.zone < len(facts.hub_of) else facts.zone
-        return Way.OWN_HUB if place.zone == own else Way.OTHER_HUB
+        return Way.OWN_HUB if zone == own else Way.OTHER_HUB
 
     def _matching(self, vhost: int, place: Place) -> Tuple[Budget, ...]:
         """The budgets that a fill falls under, with those above them."""
-        key = vhost, place.zone, self._way(place)
+        key = vhost, place.zone, place.way
         found = self.matches.get(key)
         if found is None:
             here: Dict[str, Budget] = {}
@@ -272,8 +285,13 @@
         listed, or went lately. Told from crossings that the order itself chose."""
         if place.kind not in (self.facts.parent_kind, self.facts.origin_kind) or not self.hubs:
             return False
-        home = mix(came.obj, 0)
-        first = max(self.hubs, key=lambda name: mix(home, self.hubs[name].salt))
+        first = self.homes.get(came.obj)
+        if first is None:
+            home = mix(came.obj, 0)
+            first = max(self.hubs, key=lambda name: mix(home, self.hubs[name].salt))
+            if len(self.homes) >= HOMES:
+                self.homes.clear()
+            self.homes[came.obj] = first
         return first != source
 
     # What goes out and comes to its end
@@ -287,9 +305,12 @@
         source = self.nodes.get(name)
         if source is None:
             return
-        fill = Fill(came, self._way(source), self.facts.zone, source.zone, now)
+        fill = Fill(came, source.way, self.facts.zone, source.zone, now)
         fill.kept, fill.renew = bool(what.rank) and not behind, what.renew
-        fill.forced = self._forced(came, name, source)
+        judged, self.judged = self.judged, None
+        if judged is None or judged[:3] != (now, came, name):
+            judged = None
+        fill.forced = self._forced(came, name, source) if judged is None else judged[3]
         fill.again = came.id in self.crossed
         fill.guess = self.size(came)
         self.fills[came.id] = fill
@@ -298,9 +319,12 @@
             return
         parts = self.streams is not None and self.facts.vhosts[came.vhost].parts
         key = came.viewer, came.obj
-        begun = bool(parts and self.streams and self.streams.find(key, now))
-        for budget in budgets:
-            _, pots = budget.wait(now, fill.guess, begun, fill.forced)
+        if judged is None:
+            begun = bool(parts and self.streams and self.streams.find(key, now))
+            all_pots = [budget.wait(now, fill.guess, begun, fill.forced)[1] for budget in budgets]
+        else:
+            all_pots = judged[4]
+        for budget, pots in zip(budgets, all_pots, strict=True):
             budget.charge(pots, fill.guess)
             fill.charges.append((budget, pots, fill.guess))
             budget.wanted = max(0.0, budget.wanted - fill.guess)
