Guesses of what broke off: nothing from silent sources, none before sizes are known

Change: a fill that ended sooner than 0.15 of its usual time, or timed out at a source that gave nobody anything since, carried nothing; sizes are guessed only once an answer has shown what a KB is. The lab waits for a director's own word that it serves.

--- a/ironhinge/disk/admission.py
+++ b/ironhinge/disk/admission.py
@@ -1,9 +1,9 @@
-"""Owns what the tier keeps: the design's measure (thinned req rate over size, decaying) for every part that is asked
-for, and where the tier's room ends in that order.
+"""Owns what the tier keeps: the design's measure (thinned req rate over size, decaying) for every part that
+is asked for, and where the tier's room ends in that order.
 
-It must never see bytes or a clock of its own. Parts are counted one by one; a part that was asked for once lately
-is in a sketch only. A part is wanted when all that ranks above it fits the tier beside it, its object has not its
-share yet, nor its size class, and the write budget has room.
+It must never see bytes or a clock of its own. Parts are counted one by one; a part that was asked for once
+lately is in a sketch only. A part is wanted when all that ranks above it fits the tier beside it, its object
+has not its share yet, nor its size class, and the write budget has room.
 """
 
 from __future__ import annotations
@@ -64,7 +64,9 @@
     def __init__(self, rules: Rules):
         self.rules = rules
         self.sketch = Sketch()
-        self.scores: "OrderedDict[Key, Tuple[float, int]]" = OrderedDict()  # and size; longest uncounted first
+        self.scores: "OrderedDict[Key, Tuple[float, int]]" = (
+            OrderedDict()
+        )  # and size; longest uncounted first
         self.buckets: Dict[int, int] = {}  # bytes by bucket of scores
         self.cut = -(1 << 30)  # the bucket in which the room ends
         self.looks = 0
--- a/ironhinge/lab/disks.py
+++ b/ironhinge/lab/disks.py
@@ -1,5 +1,5 @@
-"""Owns a disk that fails as it is told: what is not synced can be lost in part, the power goes at any call, room
-runs out, bits flip. It holds files in memory and answers the calls of `disk.files.Files`.
+"""Owns a disk that fails as it is told: what is not synced can be lost in part, the power goes at any call,
+room runs out, bits flip. It holds files in memory and answers the calls of `disk.files.Files`.
 """
 
 from __future__ import annotations
--- a/ironhinge/lab/run.py
+++ b/ironhinge/lab/run.py
@@ -18,7 +18,7 @@
 from typing import Any, Callable, Dict, List, Optional
 
 from .nodes import LabNode, World
-from .people import Coordinator, Front, People, Tally
+from .people import Coordinator, People
 from .scenes import BYTES, CARD, FILM, Ask, Fault, Scene, asks
 
 ZONES = ["hub-a", "hub-b", "branch"]
@@ -112,14 +112,10 @@
     async def _is_up(self) -> bool:
         until = time.monotonic() + UP
         while time.monotonic() < until and self.process is not None and self.process.returncode is None:
-            front = Front(Tally())
-            try:
-                await front.open(self.port)
-            except OSError:
-                await asyncio.sleep(0.03)
-                continue
-            await front.close()
-            return True
+            # its own word for it: whoever answers on that port may be another run's
+            if f"serves on 127.0.0.1:{self.port}" in self.log():
+                return True
+            await asyncio.sleep(0.03)
         return False
 
     def log(self) -> str:
--- a/ironhinge/traffic/ledger.py
+++ b/ironhinge/traffic/ledger.py
@@ -27,6 +27,7 @@
 OLD = 5
 NO_BYTES = 1, 4, 6, 8, 9, 10  # found, joined, and sources that gave nothing
 SURE = "unsent", "cut", "unconnected", "full", "miss"  # ends before which nothing crossed
+SOON = 0.15  # part of a fill's usual time before which none of it has crossed
 HOMES = 4096  # objects whose first hub is remembered
 REMEMBER = 6_000_000  # for how long a hub that went is reckoned with, where no budget says
 LATELY = 0.05  # weight of the newest answer in means
@@ -45,22 +46,14 @@
 class Fill:
     """A dispatch that is out and may carry bytes across."""
 
-    __slots__ = (
-        "came",
-        "way",
-        "into",
-        "out_of",
-        "kept",
-        "renew",
-        "forced",
-        "guess",
-        "at",
+    __slots__ = ("came", "source", "way", "into", "out_of", "kept", "renew", "forced", "guess", "at") + (
         "charges",
         "again",
     )
 
-    def __init__(self, came: face.ReqCame, way: Way, into: int, out_of: int, at: int):
-        self.came, self.way, self.into, self.out_of, self.at = came, way, into, out_of, at
+    def __init__(self, came: face.ReqCame, source: str, way: Way, into: int, out_of: int, at: int):
+        self.came, self.source, self.way = came, source, way
+        self.into, self.out_of, self.at = into, out_of, at
         self.kept = self.renew = self.forced = self.again = False
         self.guess = 0.0
         self.charges: List[Tuple[Budget, List[RatePot], float]] = []
@@ -91,6 +84,8 @@
         if not size or not (self.time or self.time_behind):
             return 1.0
         sends = size * (self.time or self.time_behind)
+        if took < SOON * sends:  # no answer of any source: it was refused, or broke at once
+            return 0.0
         waits = max(0.0, size * self.time_behind - sends)
         held = min(1.0, took / sends) if took < sends else 0.0
         asked = min(1.0, max(0.0, took - waits) / sends)
@@ -119,6 +114,7 @@
         ] = {}  # parents that should be there: listed ones, and those that went lately
         self.went: Dict[str, int] = {}
         self.fills: Dict[str, Fill] = {}
+        self.lively: Dict[str, List[int]] = {}  # sources: when one was last asked, and last gave something
         self.crossed: Dict[str, None] = {}  # open reqs for which bytes have crossed already
         self.means = [Means() for _ in vhosts]
         self.per_kb, self.kb = 1000.0, 0.0  # bytes on the socket a KB that reqs tell; and over how many KB
@@ -203,6 +199,7 @@
 
     def _gone(self, now: int, name: str) -> None:
         self.nodes.pop(name, None)
+        self.lively.pop(name, None)
         if name in self.hubs and name not in self.went:
             self.went[name] = now
             while len(self.went) > max(8, 2 * len(self.nodes)):  # guards the memory on days of replacements
@@ -305,7 +302,8 @@
         source = self.nodes.get(name)
         if source is None:
             return
-        fill = Fill(came, source.way, self.facts.zone, source.zone, now)
+        fill = Fill(came, name, source.way, self.facts.zone, source.zone, now)
+        self.lively.setdefault(name, [0, 0])[0] = now
         fill.kept, fill.renew = bool(what.rank) and not behind, what.renew
         judged, self.judged = self.judged, None
         if judged is None or judged[:3] != (now, came, name):
@@ -345,6 +343,7 @@
                 self.kb = min(self.kb + came.size, 1e6)
                 self.per_kb += (what.body / came.size - self.per_kb) * came.size / self.kb
             if what.note in FILLED:
+                self.lively.setdefault(fill.source, [0, 0])[1] = now
                 means.learn(what.body, what.took, what.note == BY_ORIGIN)
                 if self.shapes is not None:
                     self.shapes.add(came.vhost, what.body, what.took)
@@ -370,13 +369,18 @@
         """Bytes that crossed, and how many of them are guessed."""
         if what.result in SURE or what.note in NO_BYTES:
             return 0, 0
+        # what a KB told is on the socket is known from the first answer on; before that nothing is made up
+        size = self.size(fill.came) if self.kb else 0.0
         if what.result == "done":
             if what.note in FILLED or not what.note:
                 if what.body is not None:
                     return what.body, 0 if what.note else what.body
-                return int(fill.guess), int(fill.guess)  # the client's copy stands for it
-            return (int(fill.guess), int(fill.guess)) if fill.renew else (0, 0)
-        guess = int(fill.guess * self.means[fill.came.vhost].part(fill.guess, what.took))
+                return int(size), int(size)  # the client's copy stands for it
+            return (int(size), int(size)) if fill.renew else (0, 0)
+        asked, gave = self.lively.get(fill.source, (0, 0))
+        if what.result == "timeout" and gave < fill.at < asked:
+            return 0, 0  # asked again since, and it gave nothing to anyone: a silent source, not a slow one
+        guess = int(size * self.means[fill.came.vhost].part(size, what.took))
         return guess, guess
 
     # What is kept and told
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -98,8 +98,36 @@
     assert not one.fills
 
 
+def test_a_silent_source_gave_nothing_and_a_refusing_one_neither():
+    one = ledger()
+    for at in range(30):
+        send(one, 0, f"w{at}")
+        end(one, 100, f"w{at}")
+    before = carried(one)
+    send(one, 200, "r0")
+    send(one, 300, "r1")
+    end(one, 15_000, "r0", "timeout", 0, None, 14_800)
+    assert carried(one) == before
+    end(one, 15_000, "r1", "error", 7, None, 3)
+    assert carried(one) == before
+    send(one, 16_000, "slow")
+    send(one, 16_001, "beside")
+    end(one, 16_100, "beside")
+    end(one, 31_000, "slow", "timeout", 0, None, 15_000)
+    assert carried(one) == before + 20_000
+
+
+def test_before_any_answer_nothing_is_made_up():
+    one = ledger()
+    send(one, 0, "r", size=100.0)
+    end(one, 50, "r", "cancelled", 0, None, 50, True)
+    assert carried(one) == 0
+
+
 def test_wasted_repeated_renewed_and_passed_through():
     one = ledger()
+    send(one, 0, "first", source="p0")
+    end(one, 0, "first", took=90)
     send(one, 0, "r", rank=0)
     end(one, 5, "r", "timeout", 0, None, 100)
     send(one, 10, "r")
