Lab: a killed hub keeps its port, and ports of hubs' own connections are forgotten

Cause: a cache's connection from a port that a hub had used before was taken for a hub's, so that carried bytes were counted short (off by 2.7% with several labs at once).

--- a/ironhinge/lab/nodes.py
+++ b/ironhinge/lab/nodes.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import socket
 import time
 from collections import OrderedDict
 from functools import partial
@@ -91,6 +92,7 @@
         self.silent = False
         self.since_ms = 0
         self.server: Optional[asyncio.Server] = None
+        self.held: Optional[socket.socket] = None
         self.tasks: Set["asyncio.Task[None]"] = set()
         self.writers: Set[asyncio.StreamWriter] = set()
         self.idle: Dict[int, List[Tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}  # by port
@@ -104,6 +106,9 @@
         return task
 
     async def start(self) -> None:
+        if self.held is not None:
+            self.held.close()
+            self.held = None
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -122,9 +127,18 @@
         self.fills.clear()
         for idle in self.idle.values():
             for _, other in idle:
+                self.lab.hub_ends.discard(other.get_extra_info("sockname"))
                 other.transport.abort()
         self.idle.clear()
         self.server = None
+        self.held = socket.socket()  # keeps the port from others, and refuses
+        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.held.bind(("127.0.0.1", self.port))
+
+    async def end(self) -> None:
+        await self.kill()
+        if self.held is not None:
+            self.held.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
@@ -223,7 +237,7 @@
         """One fill on a connection of its own; calling it off ends that, and with it what is on the way."""
         idle = self.idle.setdefault(port, [])
         while idle and idle[-1][1].is_closing():
-            idle.pop()
+            self.lab.hub_ends.discard(idle.pop()[1].get_extra_info("sockname"))
         reader, writer = idle.pop() if idle else await asyncio.open_connection("127.0.0.1", port)
         if self.kind == "parent":
             self.lab.hub_ends.add(writer.get_extra_info("sockname"))
@@ -231,6 +245,7 @@
             writer.write(resp(b"want", b"f%d" % next(self.numbers), fields.encode(), b""))
             items = await read_resp(reader)
         except BaseException:
+            self.lab.hub_ends.discard(writer.get_extra_info("sockname"))  # its port may be a cache's next
             writer.transport.abort()
             raise
         idle.append((reader, writer))
--- a/ironhinge/lab/run.py
+++ b/ironhinge/lab/run.py
@@ -243,7 +243,7 @@
             task.cancel()
         await asyncio.gather(*(each.stop(signal.SIGKILL) for each in self.directors), return_exceptions=True)
         for node in self.world.nodes.values():
-            await node.kill()
+            await node.end()
         if self.coordinator.server is not None:
             self.coordinator.server.close()
         shutil.rmtree(self.folder, ignore_errors=True)
