Moved copies keep their generation; checkpoints are written piece by piece

And a checkpoint of a million entries held lookups for 5.9 ms, most of it for letting go of 92 MB at once.

--- a/ironhinge/disk/cli.py
+++ b/ironhinge/disk/cli.py
@@ -45,9 +45,8 @@
             from .format import unpack_checkpoint
 
             try:
-                entries = (
-                    sum(map(len, unpack_checkpoint(memoryview(files.read(each))).slots)) // SLOT * 3 // 4
-                )
+                slots = unpack_checkpoint(memoryview(files.read(each))).slots
+                entries = len(slots) // SLOT * 3 // 4
             except Unsound:
                 pass
     limits = Limits(1 << 60, segment, entries, settles)
--- a/ironhinge/disk/files.py
+++ b/ironhinge/disk/files.py
@@ -7,10 +7,12 @@
 
 import fcntl
 import os
+from itertools import islice
 from pathlib import Path
-from typing import Dict, List, Sequence
+from typing import Dict, Iterable, List, Sequence
 
 RETIRED = 4
+MOST_TOGETHER = 16  # pieces of a whole file in one call
 MOST_PIECES = 512  # that the system takes in one call
 
 
@@ -93,17 +95,21 @@
         finally:
             os.close(fd)
 
-    def put(self, name: str, pieces: Sequence[bytes]) -> None:
-        """A whole small file in one step: readers find the old one or the new one."""
+    def put(self, name: str, pieces: Iterable[bytes]) -> int:
+        """A whole file in one step: readers find the old one or the new one. How many bytes it has."""
         part = name + ".part"
         fd = os.open(self.folder / part, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
-            self.write(fd, pieces, 0)
+            done, rest = 0, iter(pieces)
+            while some := list(islice(rest, MOST_TOGETHER)):
+                self.write(fd, some, done)
+                done += sum(map(len, some))
             self.sync(fd)
         finally:
             self.close(fd)
         self.rename(part, name)
         self.sync_folder()
+        return done
 
     def read(self, name: str) -> bytes:
         with open(self.folder / name, "rb") as file:
--- a/ironhinge/disk/format.py
+++ b/ironhinge/disk/format.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import struct
-from typing import Dict, Iterator, List, NamedTuple, Optional, Sequence, Tuple, Union
+from typing import Dict, Iterable, Iterator, List, NamedTuple, Optional, Tuple, Union
 
 import xxhash
 
@@ -144,10 +144,11 @@
     segments: Dict[int, Tuple[int, int]]  # bytes in all, and of them live
     objects: Dict[int, int]  # purges
     groups: Dict[int, int]
-    slots: Sequence[bytes]
+    slots: bytes = b""
 
 
-def pack_checkpoint(one: Checkpoint) -> List[bytes]:
+def pack_checkpoint(one: Checkpoint, slots: Iterable[bytes], size: int) -> Iterator[bytes]:
+    """Its bytes, piece by piece: `slots` are taken as they are written, `size` bytes in all."""
     head = _CHECKPOINT.pack(
         CHECKPOINT_MARK,
         VERSION,
@@ -162,15 +163,17 @@
         len(one.segments),
         len(one.objects),
         len(one.groups),
-        sum(map(len, one.slots)),
+        size,
     )
     rows = b"".join(struct.pack("<QQQ", number, *sizes) for number, sizes in one.segments.items())
     rows += b"".join(struct.pack("<QQ", *each) for each in one.objects.items())
     rows += b"".join(struct.pack("<QQ", *each) for each in one.groups.items())
     check = xxhash.xxh3_64(head + rows)
-    for piece in one.slots:
+    yield head + rows
+    for piece in slots:
         check.update(piece)
-    return [head + rows, *one.slots, check.digest()]
+        yield piece
+    yield check.digest()
 
 
 def unpack_checkpoint(data: memoryview) -> Checkpoint:
@@ -194,7 +197,7 @@
         for _ in range(rows):
             name, when = struct.unpack_from("<QQ", data, at)
             book[name], at = when, at + 16
-    return Checkpoint(store, *fields[3:-4], segments, books[0], books[1], [bytes(data[at:end])])  # type: ignore[call-arg]
+    return Checkpoint(store, *fields[3:-4], segments, books[0], books[1], bytes(data[at:end]))  # type: ignore[call-arg]
 
 
 def name_of(segment: int) -> str:
--- a/ironhinge/disk/index.py
+++ b/ironhinge/disk/index.py
@@ -55,6 +55,13 @@
             self.picture[place] = found
         return found
 
+    def take_chunk(self, place: int) -> bytes:
+        """The same, and lets go of it: what is written must not stay in memory until the last one is."""
+        found = self.chunk(place)
+        if self.picture is not None:
+            self.picture[place] = b""
+        return found
+
     def end_picture(self) -> None:
         self.picture = None
 
--- a/ironhinge/disk/store.py
+++ b/ironhinge/disk/store.py
@@ -148,7 +148,7 @@
                 one = unpack_checkpoint(memoryview(self.files.read(name)))
                 if one.store != self.identity:
                     raise Foreign("its checkpoint is another installation's")
-                index = Index(self.limits.entries, one.slots[0])
+                index = Index(self.limits.entries, one.slots)
             except (Unsound, OSError, ValueError):
                 self.count("checkpoints_unsound")
                 continue
@@ -361,9 +361,13 @@
     def drop(self, obj: int, part: int) -> bool:
         with self.lock:
             entry = self.index.get(obj, part)
-            if entry is None:
+            waits = [each for each in self.queue if each[1] is not None and each[1][:2] == (obj, part)]
+            if entry is None and not waits:
                 return False
-            self._forget(entry)
+            for each in waits:
+                self.queue.remove(each)
+            if entry is not None:
+                self._forget(entry)
             self.generation += 1
             self._enqueue(pack_record(DROP, obj, part, 0, 0, self.generation), None)
             return True
@@ -448,7 +452,11 @@
                 if entry is not None:
                     placed = entry._replace(segment=self.number, offset=at)
                     old = self.index.get(entry.obj, entry.part)
-                    if (old is None or old.generation < entry.generation) and not self.is_purged(placed):
+                    if entry.segment:  # moved: must not undo a newer put
+                        takes = old is not None and old.generation == entry.generation
+                    else:
+                        takes = old is None or old.generation < entry.generation
+                    if takes and not self.is_purged(placed):
                         self._place(placed, old)
                 at += sum(map(len, record))
             self.offset = offset
@@ -553,7 +561,9 @@
             self.count("records_unsound")
             self._lost(entry)
             return 0
-        self.put(head.obj, head.part, head.group, head.dated, tag, body)
+        pieces = pack_record(PUT, head.obj, head.part, head.group, head.dated, head.generation, tag, body)
+        with self.lock:
+            self._enqueue(pieces, entry)
         self.count("bytes_moved", head.size)
         return head.size
 
@@ -596,27 +606,28 @@
                 {number: (total, live) for number, (total, live) in self.segments.items()},
                 dict(self.objects),
                 dict(self.groups),
-                (),
             )
             chunks = len(self.index.picture or ())
-        slots = []
-        for place in range(chunks):  # a few at a time: whoever looks something up must not wait for all of it
-            with self.lock:
-                slots.append(self.index.chunk(place))
-        with self.lock:
-            self.index.end_picture()
-        one = one._replace(slots=slots)
-        pieces = pack_checkpoint(one)
+        pieces = pack_checkpoint(one, self._chunks(chunks), len(self.index.block))
         try:
             if CHECKPOINT in self.files.names():
                 self.files.rename(CHECKPOINT, OLDER)
-            self.files.put(CHECKPOINT, pieces)
+            return self.files.put(CHECKPOINT, pieces)
         except OSError as fault:
             if fault.errno not in WRONG:
                 raise
             self.count("writes_failed")
             return 0
-        return sum(map(len, pieces))
+        finally:
+            with self.lock:
+                self.index.end_picture()
+
+    def _chunks(self, count: int) -> Iterator[bytes]:
+        """The index as it was, a piece at a time: whoever looks something up must not wait for all of it."""
+        for place in range(count):
+            with self.lock:
+                piece = self.index.take_chunk(place)
+            yield piece
 
     def scrub(self, number: int) -> Iterator[int]:
         """Verifies all that is live in a segment; yields the bytes of each step."""
--- a/ironhinge/disk/tier.py
+++ b/ironhinge/disk/tier.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import sys
 from pathlib import Path
 from typing import Any, Callable, Dict, Iterator, Optional, Tuple
 
@@ -34,6 +35,7 @@
 TELL_EVERY = 5.0
 SPARE = 0.95  # of its room from which it makes some
 TICKS = 10_000
+SWITCH = 0.0005  # seconds after which a thread of the tier lets the event loop go on
 
 
 class Tier:
@@ -48,6 +50,7 @@
         unix_ms: Callable[[], int],
     ):
         self.told, self.facts, self.now, self.unix_ms = told, facts, now, unix_ms
+        sys.setswitchinterval(SWITCH)
         self.folder = Path(told.folder)
         limits = Limits(told.room, told.segment, told.entries, facts.purge_settles // 10)
         self.store = Store(Files(self.folder), name.encode(), limits, unix_ms)
--- a/ironhinge/lab/disks.py
+++ b/ironhinge/lab/disks.py
@@ -7,7 +7,7 @@
 import errno
 from pathlib import Path
 from random import Random
-from typing import Dict, List, Optional, Sequence
+from typing import Dict, Iterable, List, Optional, Sequence
 
 from ..disk.files import Files
 
@@ -144,15 +144,17 @@
         self._call()
         self.safe_names = dict(self.files)
 
-    def put(self, name: str, pieces: Sequence[bytes]) -> None:
+    def put(self, name: str, pieces: Iterable[bytes]) -> int:
         part = name + ".part"
         self.files.pop(part, None)
         fd = self.open_append(part)
-        self.write(fd, pieces, 0)
+        whole = b"".join(pieces)
+        self.write(fd, [whole], 0)
         self.sync(fd)
         self.close(fd)
         self.rename(part, name)
         self.sync_folder()
+        return len(whole)
 
     def read(self, name: str) -> bytes:
         return bytes(self._file(name).data)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -84,7 +84,6 @@
 
     @rule(key=keys)
     def drops(self, key):
-        self.store.flush()
         self.store.drop(*key)
         self.sure.pop(key, None)
         self.safe.pop(key, None)
@@ -114,9 +113,10 @@
         self.store.checkpoint()
         self.safe = dict(self.sure)
 
-    @rule()
-    def compacts(self):
-        self.store.flush()
+    @rule(first=st.booleans())
+    def compacts(self, first):
+        if first:
+            self.store.flush()
         number = self.store.victim()
         if number is not None:
             for _ in self.store.compact(number, lambda entry: True):
@@ -424,6 +424,18 @@
     assert all(again.get(obj, 0) is None for obj in range(8))
 
 
+def test_what_is_moved_undoes_no_newer_copy_that_waits():
+    store, now = filled()
+    store._new_segment()
+    store.put(3, 0, 0, now.ms + 1, b"t9", b"newer")
+    for _ in store.compact(1, lambda entry: True):
+        pass
+    store.flush()
+    assert store.get(3, 0).body == b"newer"
+    store.sync()
+    assert open_(store.files, now).get(3, 0).body == b"newer"
+
+
 def test_purges_outlive_restarts_compaction_and_their_number():
     store, now = filled()
     now.ms += 1
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -279,8 +279,9 @@
             segment.unlink()
             segment.write_bytes(b"")
         with open(segment, "r+b") as file:
-            file.seek(300)
-            file.write(b"\0\0\0\0")
+            for at in range(300, segment.stat().st_size, 200):
+                file.seek(at)
+                file.write(b"\0\0\0\0")
         assert ask(client, ONE)[::2] == (1, body)
         if what == "flip":
             assert len(node.wanted) == asked + 1, "bytes that were not verified"
