--- a/ironhinge/lab/nodes.py
+++ b/ironhinge/lab/nodes.py
@@ -88,6 +88,7 @@
         self.port = 0
         self.numbers = itertools.count(1)
         self.carried = 0  # bytes of bodies written to caches, of all lives
+        self.given = 0  # and all others
         self.dispatches = self.fills_cut = 0
         self.silent = False
         self.since_ms = 0
@@ -200,6 +201,7 @@
                 await self.lab.link.pass_(len(piece))
             await asyncio.sleep(len(piece) / self.pace)
             writer.write(piece)
+            self.given += len(piece)
             if inward:
                 self.carried += len(piece)
         writer.write(b"\r\n")
--- a/ironhinge/lab/people.py
+++ b/ironhinge/lab/people.py
@@ -19,6 +19,7 @@
 PATIENCE = 3.0  # seconds that a client waits for a whole answer
 TRIES = 12  # of one part; the last of them ends the stream
 IDLE = 3.0  # seconds after which it closes a connection that it does not use
+CROSSES = 0.05  # seconds after which a req that a closed connection took with it is lost
 AWAY = 0.1  # seconds that a client stays away when it is told nothing
 WORDS = {1: "done", 2: "denied", 3: "aborted"}
 
@@ -86,6 +87,7 @@
         self.tally, self.stream = tally, 0
         self.waiting: Dict[int, "asyncio.Future[Tuple[str, Dict[str, str], bytes]]"] = {}
         self.left: set = set()
+        self.over = False  # takes no new req: the director said so, or the connection has ended
         self.writer: asyncio.StreamWriter
         self.reading: "asyncio.Task[None]"
 
@@ -102,6 +104,7 @@
                 (length,) = struct.unpack(">I", await reader.readexactly(4))
                 data = await reader.readexactly(length)
                 kind, stream = data[0], int.from_bytes(data[1:5], "big")
+                self.over = self.over or kind == 3
                 if kind != 8:
                     continue
                 fields, end = read_fields(data[6:])
@@ -116,6 +119,7 @@
         except (OSError, EOFError):
             pass
         finally:
+            self.over = True
             for future in self.waiting.values():
                 if not future.done():
                     future.set_exception(ConnectionResetError())
@@ -156,6 +160,10 @@
             tally.counts["unanswered"] += 1
             return "unanswered", {}
         except ConnectionResetError:
+            if asyncio.get_running_loop().time() - began <= CROSSES:
+                tally.counts["sent"] -= 1  # it crossed the close of an idle connection: sent again, once
+                tally.counts["crossed"] += 1
+                return "crossed", {}
             tally.counts["unanswered"] += 1
             return "unanswered", {}
         tally.counts["answers"] += 1
@@ -191,9 +199,16 @@
         return f"{self.chance.getrandbits(64):016x}"
 
     async def _front(self, viewer: int) -> Front:
-        front = Front(self.tally)
-        await front.open(self.ports[viewer % len(self.ports)])
-        return front
+        """A connection to the viewer's director; to the next one while that is down."""
+        for turn in range(4 * len(self.ports)):
+            front = Front(self.tally)
+            try:
+                await front.open(self.ports[(viewer + turn) % len(self.ports)])
+                return front
+            except ConnectionRefusedError:
+                if turn % len(self.ports) == len(self.ports) - 1:
+                    await asyncio.sleep(AWAY)
+        raise ConnectionRefusedError
 
     async def play(self, ask: Ask) -> None:
         if ask.route == FILM:
@@ -201,11 +216,17 @@
         place = ask.viewer % len(self.ports)
         idle = self.shared.setdefault(place, [])
         loop = asyncio.get_running_loop()
-        while idle and idle[0][0] < loop.time() - IDLE:  # as usual clients do
+        while idle and (idle[0][0] < loop.time() - IDLE or idle[0][1].over):  # as usual clients do
             await idle.pop(0)[1].close()
+        while idle and idle[-1][1].over:
+            await idle.pop()[1].close()
         front = idle.pop()[1] if idle else await self._front(place)
         for tries in range(3):
-            word, told = await front.ask(ask.route, ask.obj, 0, ask.body, tries > 0, self.trace(), ask.leaves)
+            args = ask.route, ask.obj, 0, ask.body, tries > 0, self.trace(), ask.leaves
+            word, told = await front.ask(*args)
+            if word == "crossed":
+                front = await self._front(place)
+                word, told = await front.ask(*args)
             if word != "denied":
                 break
             await asyncio.sleep(int(told.get("pause", 0)) / 1000 or AWAY)
@@ -223,10 +244,18 @@
         try:
             for part in range(ask.parts):
                 began = loop.time()
+                if front.over:
+                    await front.close()
+                    front = await self._front(ask.viewer)
                 for tries in range(TRIES if part else 1):
                     word, told = await front.ask(
                         ask.route, ask.obj, part, ask.body, tries > 0, self.trace(), 0.0
                     )
+                    if word == "crossed":
+                        front = await self._front(ask.viewer)
+                        word, told = await front.ask(
+                            ask.route, ask.obj, part, ask.body, tries > 0, self.trace(), 0.0
+                        )
                     if word != "denied":
                         break
                     await asyncio.sleep(max(AWAY, int(told.get("pause", 0)) / 1000))
--- a/ironhinge/lab/run.py
+++ b/ironhinge/lab/run.py
@@ -86,6 +86,7 @@
         self.folder, self.name, self.told, self.operations = folder, name, told, operations
         self.process: Optional[asyncio.subprocess.Process] = None
         self.port = 0
+        self.lives = 0
         self.cpu = 0.0
         self.memory_kb = 0
 
@@ -113,7 +114,8 @@
         until = time.monotonic() + UP
         while time.monotonic() < until and self.process is not None and self.process.returncode is None:
             # its own word for it: whoever answers on that port may be another run's
-            if f"serves on 127.0.0.1:{self.port}" in self.log():
+            if self.log().count(f"serves on 127.0.0.1:{self.port}") > self.lives:
+                self.lives += 1
                 return True
             await asyncio.sleep(0.03)
         return False
@@ -159,9 +161,12 @@
         progress: Progress,
         account: bool = True,
         share: bool = False,
+        wipe: bool = False,
     ):
         self.scene, self.seed, self.seconds, self.count = scene, seed, seconds, directors
         self.progress, self.account, self.share = progress, account and scene.name != "off", share
+        self.wipe = wipe  # whether a restart begins with an empty disk
+        self.marks: Dict[str, int] = {}  # figures at the first restart
         self.folder = Path(tempfile.mkdtemp(prefix="ironhinge-lab-"))
         self.kept = self.folder / "kept"
         self.world = World(scene.link)
@@ -190,7 +195,6 @@
         ):
             await world.add(LabNode(world, name, kind, zone, room, scene.pace)).start()
         await self.coordinator.start()
-        operations = self._operations()
         peers = [free_port() for _ in range(self.count)] if self.share else []
         for place in range(self.count):
             told: Dict[str, Any] = {
@@ -204,21 +208,47 @@
             if peers:
                 told["peers"] = [f"127.0.0.1:{port}" for port in peers]
                 told["peer_listen"] = told["peers"][place]
+            operations = self._operations(f"n{place}")
             self.directors.append(DirectorProcess(self.folder, f"n{place}", told, operations))
         self.progress(f"{len(world.nodes)} stand-ins up, starting {self.count} directors")
         await asyncio.gather(*(director.start() for director in self.directors))
 
-    def _operations(self) -> Optional[Path]:
+    def _operations(self, name: str) -> Optional[Path]:
         if not self.account:
             return None
-        path = self.folder / "operations.cue"
+        path = self.folder / f"{name}.cue"
         share = '    share: {every: "50ms"}\n' if self.share else ""
         path.write_text(
             f'traffic: {{\n    period: "1h"\n    keep: {{folder: "{self.kept}", every: "5s"}}\n{share}'
-            f"    budgets: {{\n{self.scene.budget}    }}\n}}\n"
+            f"    budgets: {{\n{self.scene.budget}    }}\n}}\n" + self._disk(name)
         )
         return path
 
+    def _disk(self, name: str) -> str:
+        if not self.scene.disk:
+            return ""
+        folder = self.folder / "tier" / name
+        return f'disk: {{folder: "{folder}", room: "{self.scene.disk}", segment: "512KiB"}}\n'
+
+    def _given(self) -> Dict[str, int]:
+        nodes = self.world.nodes.values()
+        return {
+            "origin": self.world.origin.given,
+            "crossed": sum(node.carried for node in nodes if node.kind != "std"),
+            "dispatches": sum(node.dispatches for node in nodes if node.kind == "std"),
+        }
+
+    async def _restart(self, place: int) -> None:
+        """A planned one: SIGTERM, all that was taken is answered, and up again at the same address."""
+        director = self.directors[place % self.count]
+        self.progress(f"restart {director.name}" + ", its disk empty" * self.wipe)
+        await director.stop()
+        if self.wipe:
+            shutil.rmtree(self.folder / "tier" / director.name, ignore_errors=True)
+        if not self.marks:
+            self.marks = self._given()
+        await director.start()
+
     def _listing(self) -> Dict[str, Any]:
         return {
             "index": 1,
@@ -291,6 +321,8 @@
 
     async def _fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at * self.seconds)
+        if fault.what == "restart":
+            await self._restart(int(fault.whom))
         if fault.what in ("kill", "back", "silence", "wake", "slow"):
             node = self._hub(fault.whom)
             self.progress(f"{fault.what} {node.name} in {node.zone}")
@@ -340,6 +372,9 @@
             "carried_by_way": by_way,
             "carried_bytes": sum(by_way.values()),
         }
+        if self.marks:
+            after = self._given()
+            out["after_restart"] = {name: after[name] - before for name, before in self.marks.items()}
         if counts["streams"]:
             out["streams"] = counts["streams"]
             out["streams_begun"], out["streams_whole"] = counts["streams_begun"], counts["streams_whole"]
@@ -373,7 +408,8 @@
     progress: Progress = lambda text: None,
     account: bool = True,
     share: bool = False,
+    wipe: bool = False,
 ) -> Dict[str, Any]:
     """One run from nothing to nothing; Ctrl-C ends it as cleanly."""
-    run = Run(scene, seed, seconds, directors, progress, account, share)
+    run = Run(scene, seed, seconds, directors, progress, account, share, wipe)
     return asyncio.run(run())
--- a/ironhinge/lab/scenes.py
+++ b/ironhinge/lab/scenes.py
@@ -55,6 +55,7 @@
     burst: float = 0.0
     ways: Tuple[str, ...] = ()  # that it is of
     faults: Tuple[Fault, ...] = ()
+    disk: str = ""  # room of each director's tier
 
 
 OTHER = """    other_hubs: {
@@ -124,6 +125,19 @@
             burst=240_000,
             ways=("own-hub", "other-hub", "origin"),
         ),
+        Scene(
+            "disk-restart",
+            "directors with a tier on disk, restarted in turn under load; caches and hubs hold little",
+            cards=80.0,
+            names=150,
+            streams=3.0,
+            films=12,
+            parts=6,
+            leaving=0.0,
+            room=60_000,
+            disk="2MB",
+            faults=(Fault(0.5, "restart", "0"), Fault(0.6, "restart", "1")),
+        ),
         Scene("off", "usual load, neither account nor budgets: the baseline of costs"),
     )
 }
