--- a/deploy/operations.cue
+++ b/deploy/operations.cue
@@ -11,3 +11,4 @@
 //     }
 //     prices: [{ways: ["other-hub"], per_gb: 0.02}, {ways: ["origin"], per_gb: 0.05}]
 // }
+// disk: {folder: "/var/lib/ironhinge/tier", room: "200GB"}
--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -88,7 +88,19 @@
         sys.exit(2)
 
 
-def open_books(told: Assignment, operations: Any) -> Any:
+def open_runner(operations: Any) -> Any:
+    """What runs background work, where the operations bring any."""
+    if operations is None or operations.traffic is None and operations.disk is None:
+        return None
+    from .jobs.plan import Budgets
+    from .jobs.runner import Runner
+    from .net.director import Clock
+
+    budgets = Budgets(float(operations.disk.background)) if operations.disk is not None else Budgets()
+    return Runner(budgets, Clock.now)
+
+
+def open_books(told: Assignment, operations: Any, runner: Any) -> Any:
     """What keeps the account, where the operations turn it on."""
     if operations is None or operations.traffic is None:
         return None
@@ -97,10 +109,10 @@
 
     me = told.peers.index(told.peer_listen) if told.peer_listen in told.peers else 0
     who = Origin(told.name, told.names.zones, told.names.vhosts, me)
-    return Keeper(operations.traffic, told.deployment, who, Clock.now, Clock.unix_ms)
+    return Keeper(operations.traffic, told.deployment, who, Clock.now, Clock.unix_ms, runner)
 
 
-def open_shelf(told: Assignment, operations: Any) -> Any:
+def open_shelf(told: Assignment, operations: Any, runner: Any) -> Any:
     """The tier of copies on disk, where the operations turn it on; a folder that can't be had ends the
     program."""
     if operations is None or operations.disk is None:
@@ -111,7 +123,7 @@
     from .net.director import Clock
 
     try:
-        return Tier(operations.disk, told.deployment, told.name, Clock.now, Clock.unix_ms)
+        return Tier(operations.disk, told.deployment, told.name, Clock.now, Clock.unix_ms, runner)
     except (OSError, Locked, Foreign) as fault:
         click.echo(f"ironhinge: {operations.disk.folder}: {fault}", err=True)
         sys.exit(1)
@@ -135,11 +147,12 @@
     logger.add(sys.stderr, level=log_level.upper(), format=LINE, diagnose=False, backtrace=False)
     told = read_or_end(config, name, listen)
     wanted = operations_or_end(config, operations)
-    books, shelf = open_books(told, wanted), open_shelf(told, wanted)
+    runner = open_runner(wanted)
+    books, shelf = open_books(told, wanted, runner), open_shelf(told, wanted, runner)
     if books is not None:
         books.reread = lambda: read_operations(config, operations)
     try:
-        run(told, lambda: read(config, name, listen), books, shelf)
+        run(told, lambda: read(config, name, listen), books, shelf, runner)
     except* OSError as faults:  # the address is taken or not ours
         click.echo(f"ironhinge: {told.listen.host}:{told.listen.port}: {faults.exceptions[0]}", err=True)
         sys.exit(1)
--- a/ironhinge/disk/tier.py
+++ b/ironhinge/disk/tier.py
@@ -11,13 +11,13 @@
 import os
 import sys
 from pathlib import Path
-from typing import Any, Callable, Dict, Iterator, Optional, Tuple
+from typing import Any, Callable, Dict, Iterator, List, Optional, Tuple
 
 import anyio
 from loguru import logger
 
 from .. import interface as face
-from ..jobs.plan import Budgets, Job
+from ..jobs.plan import Job
 from ..jobs.runner import Runner
 from ..settings import records
 from .admission import Admission, Rules
@@ -48,12 +48,16 @@
         name: str,
         now: Callable[[], int],
         unix_ms: Callable[[], int],
+        runner: Runner,
+        files: Callable[[Path], Files] = Files,
     ):
         self.told, self.facts, self.now, self.unix_ms = told, facts, now, unix_ms
+        self.runner = runner
+        began = now()
         sys.setswitchinterval(SWITCH)
         self.folder = Path(told.folder)
         limits = Limits(told.room, told.segment, told.entries, facts.purge_settles // 10)
-        self.store = Store(Files(self.folder), name.encode(), limits, unix_ms)
+        self.store = Store(files(self.folder), name.encode(), limits, unix_ms)
         write = float(told.write or 0)
         self.admission = Admission(
             Rules(
@@ -67,12 +71,14 @@
         )
         for entry in self.store.index.entries():
             self.admission.held((entry.obj, entry.part), entry.length, 1)
-        self.runner = Runner(Budgets(float(told.background)), now)
         self.readers = anyio.CapacityLimiter(READERS)
         self.writer = anyio.CapacityLimiter(1)
         self.reads = 0
         self.per_kb, self.kb = 1000.0, 0.0
         self.counts: Dict[str, int] = {"hits": 0, "misses": 0, "slow": 0, "kept": 0, "refused": 0}
+        self.by_kind: Dict[Tuple[int, int], List[int]] = {}  # hits and reqs by vhost and size class
+        self.kept_bytes = 0
+        self.recovery_ms = (now() - began) / 10
         self.news = anyio.Event()
         self.pending: Dict[Tuple[int, int], int] = {}  # dates of copies that wait to be written
         self.heard_at = 0
@@ -82,7 +88,9 @@
 
     def asked(self, now: int, came: face.ReqCame) -> int:
         """Counts the req; the age of the copy at hand, in tenths of a millisecond; -1 where there is none."""
-        self.admission.asked(now, (came.obj, came.part), int(came.size * self.per_kb))
+        size = int(came.size * self.per_kb)
+        self.admission.asked(now, (came.obj, came.part), size)
+        self._kind(came, size)[1] += 1
         if self.reads >= MOST_READS:
             return -1
         entry = self.store.find(came.obj, came.part)
@@ -91,6 +99,9 @@
             return -1
         return max(0, (self.unix_ms() - entry.dated) * 10)
 
+    def _kind(self, came: face.ReqCame, size: int) -> List[int]:
+        return self.by_kind.setdefault((came.vhost, size.bit_length()), [0, 0])
+
     def wants(self, now: int, came: face.ReqCame) -> bool:
         if self.store.queued > MOST_QUEUED or self.store.full:
             return False
@@ -116,6 +127,8 @@
         finally:
             self.reads -= 1
         self.counts["hits" if copy is not None else "misses"] += 1
+        if copy is not None:
+            self._kind(came, int(came.size * self.per_kb))[0] += 1
         self.runner.late(copy is None)
         return copy
 
@@ -133,6 +146,7 @@
                 self.admission.held(key, old.length, -1)
             self.admission.held(key, len(body), 1)
             self.counts["kept"] += 1
+            self.kept_bytes += len(body)
             self.news.set()
 
     def purge(self, obj: Optional[int], group: int, unix_ms: int) -> None:
@@ -150,7 +164,6 @@
 
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.runner.run)
             tasks.start_soon(self._look_after)
             while True:
                 await self.news.wait()
@@ -230,4 +243,15 @@
         self._tell()
 
     def status(self) -> Dict[str, Any]:
-        return {**self.store.status(), **self.counts, "admission": dict(self.admission.refused)}
+        written = self.store.counts.get("bytes_written", 0)
+        return {
+            **self.store.status(),
+            **self.counts,
+            "recovery_ms": self.recovery_ms,
+            "written_for_kept": round(written / self.kept_bytes, 3) if self.kept_bytes else None,
+            "hit_share": {
+                f"vhost {vhost}, under {1 << size} bytes": round(hits / reqs, 4)
+                for (vhost, size), (hits, reqs) in sorted(self.by_kind.items())
+            },
+            "admission": dict(self.admission.refused),
+        }
--- a/ironhinge/jobs/runner.py
+++ b/ironhinge/jobs/runner.py
@@ -21,6 +21,8 @@
 
 
 class Runner:
+    """One a program; whoever has background work submits it here."""
+
     def __init__(self, budgets: Budgets, now: Callable[[], int]):
         self.now, self.plan = now, Plan(budgets, now())
         self.work: Dict[str, Iterator[int]] = {}
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -44,20 +44,28 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
 
 
-def run(told: Assignment, read_again: Callable[[], Assignment], books: Any = None, shelf: Any = None) -> None:
+def run(
+    told: Assignment,
+    read_again: Callable[[], Assignment],
+    books: Any = None,
+    shelf: Any = None,
+    runner: Any = None,
+) -> None:
     """Serves until SIGTERM; at SIGHUP the configuration is read again."""
     poll = Poll()
     options = {"loop_factory": lambda: asyncio.SelectorEventLoop(poll)}
-    anyio.run(_serve, told, read_again, poll, books, shelf, backend_options=options)
+    anyio.run(_serve, told, read_again, poll, books, shelf, runner, backend_options=options)
 
 
 async def _serve(
-    told: Assignment, read_again: Callable[[], Assignment], poll: Poll, books: Any, shelf: Any
+    told: Assignment, read_again: Callable[[], Assignment], poll: Poll, books: Any, shelf: Any, runner: Any
 ) -> None:
     with anyio.open_signal_receiver(*HEARD) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
         async with anyio.create_task_group() as tasks:
             director = _start(told, poll, tasks, books, shelf)
+            if runner is not None:
+                tasks.start_soon(_keep, runner.run)
             await _until_told_to_leave(signals, director, read_again, books)
             tasks.start_soon(_until_told_to_leave, signals, None, read_again, books)  # it is ending already
             await _leave(director)
--- a/ironhinge/traffic/keeper.py
+++ b/ironhinge/traffic/keeper.py
@@ -9,14 +9,15 @@
 import os
 import re
 import threading
-from functools import partial
 from pathlib import Path
-from typing import Any, Callable, Dict, List, NamedTuple, Optional, Tuple
+from typing import Any, Callable, Dict, Iterator, List, NamedTuple, Optional, Tuple
 
 import anyio
 from loguru import logger
 
 from .. import interface as face
+from ..jobs.plan import Job
+from ..jobs.runner import Runner
 from ..settings import records
 from .ledger import Ledger
 from .snapshot import Snapshot, Torn, newest, pack, unpack
@@ -76,14 +77,16 @@
         who: Origin,
         now: Callable[[], int],
         unix_ms: Callable[[], int],
+        runner: Runner,
     ):
+        self.runner = runner
         self.told, self.facts, self.who = told, facts, who
         self.now, self.unix_ms = now, unix_ms
         self.life, self.number = unix_ms(), 0
         self.tell: Callable[[bytes], None] = lambda data: None
         self.rows: Dict[str, face.NodeRow] = {}
         self.lock, self.written = threading.Lock(), 0  # of the file, and the newest snapshot in it
-        self.writing = False
+        self.asked_at = 0
         self.ledger = self._ledger(told)
         self._restore()
         if told.metrics is not None:
@@ -197,9 +200,14 @@
             self._do(self.ledger.step(self.now(), Tick(self.unix_ms())))
             if self.metrics is not None:
                 self.metrics.show(self.ledger)
-            if self.told.keep is not None and waited >= self.told.keep.every / 10_000 and not self.writing:
+            if self.told.keep is not None and waited >= self.told.keep.every / 10_000:
                 waited = 0.0
-                await self._write()
+                now = self.now()
+                if "snapshot" in self.runner.plan.jobs and now > self.asked_at + PATIENCE * 10_000:
+                    logger.warning("traffic: the disk takes longer than {} s", PATIENCE)
+                elif "snapshot" not in self.runner.plan.jobs:
+                    self.asked_at = now
+                    self.runner.submit(Job("snapshot", 1, deadline=now + 10_000), self._write)
 
     def packed(self, clean: bool) -> Tuple[int, bytes]:
         self.number += 1
@@ -212,20 +220,19 @@
                 replace(path, data)
                 self.written = number
 
-    async def _write(self) -> None:
+    def _write(self) -> Iterator[int]:
+        """A job: the snapshot is of the moment at which it is asked for, and written in a thread."""
         path = self._path()
         if path is None:
-            return
-        (number, data), self.writing = self.packed(False), True
+            return iter(())
+        return self._put(path, *self.packed(False))
+
+    def _put(self, path: Path, number: int, data: bytes) -> Iterator[int]:
         try:
-            with anyio.move_on_after(PATIENCE) as scope:
-                await anyio.to_thread.run_sync(partial(self.put, path, number, data), abandon_on_cancel=True)
-            if scope.cancelled_caught:
-                logger.warning("traffic: {}: the disk takes longer than {} s", path, PATIENCE)
+            self.put(path, number, data)
         except OSError as fault:
             logger.warning("traffic: {}: {}", path, fault)
-        finally:
-            self.writing = False
+        yield len(data)
 
     def close(self) -> None:
         """The last snapshot says that nothing is missing after it."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -157,9 +157,8 @@
 
 def test_a_snapshot_that_was_slow_to_be_written_replaces_no_newer_one(tmp_path):
     one = load_texts([("f", 'traffic: keep: {folder: "%s"}' % tmp_path)]).operations.traffic
-    keeper = Keeper(
-        one, deployment(), Origin("n0", ("a",), ("film",), 0), lambda: 0, lambda: 1_764_576_000_000
-    )
+    runner, who = Runner(Budgets(), lambda: 0), Origin("n0", ("a",), ("film",), 0)
+    keeper = Keeper(one, deployment(), who, lambda: 0, lambda: 1_764_576_000_000, runner)
     slow = keeper.packed(False)
     keeper.close()
     keeper.put(tmp_path / file_name("n0"), *slow)
@@ -170,8 +169,8 @@
     code = (
         "import sys, ironhinge.cli, ironhinge.net.service\n"
         "bad = {'lark', 'msgspec', 'xxhash', 'hdrh', 'prometheus_client', 'matplotlib', 'numpy',"
-        " 'ironhinge.traffic.ledger', 'ironhinge.lab.run'} & set(sys.modules)\n"
-        "assert not bad, bad"
+        " 'ironhinge.traffic.ledger', 'ironhinge.lab.run', 'ironhinge.disk.store', 'ironhinge.jobs.runner'} &
+        set(sys.modules)\n" "assert not bad, bad"
     )
     assert subprocess.run([sys.executable, "-c", code]).returncode == 0
 
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -4,12 +4,18 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 
+import anyio
 import pytest
 
 from ironhinge import interface as face
+from ironhinge.disk.files import Files
+from ironhinge.disk.tier import Tier
 from ironhinge.jobs.plan import Budgets, Cancelled, Job, Late, Plan, Run, Sliced, Stop, Submitted, Tick, Wake
+from ironhinge.jobs.runner import Runner
+from ironhinge.settings.load import load_texts
 
 from .helpers import (
     FakeClient,
@@ -264,6 +270,40 @@
         program.stop()
 
 
+class Slow(Files):
+    """A disk whose reads hang until they are let go."""
+
+    held = threading.Event()
+
+    def read_at(self, name, offset, *sizes):
+        self.held.wait(FAR)
+        return super().read_at(name, offset, *sizes)
+
+
+def test_a_disk_that_hangs_is_a_miss_within_the_patience_and_slows_background_work(tmp_path):
+    disk = load_texts(
+        [("f", 'disk: {folder: "%s", room: "1MB", patience: "20ms"}' % tmp_path)]
+    ).operations.disk
+
+    async def play():
+        runner = Runner(Budgets(), lambda: 0)
+        tier = Tier(disk, deployment(), "n0", lambda: 0, lambda: 1_764_576_000_000, runner, Slow)
+        came = req("r", 1)
+        tier.keep(came, "t", 1_764_576_000_000 - 5, b"bytes")
+        tier._write()
+        assert tier.asked(0, came) == 50
+        assert await tier.read(came) is None
+        assert tier.counts["slow"] == 1 and runner.plan.share < 1
+        Slow.held.set()
+        copy = None
+        while copy is None:  # as soon as the disk goes on, so do hits
+            copy = await tier.read(came)
+        assert copy.body == b"bytes" and tier.status()["hit_share"]
+        tier.close()
+
+    anyio.run(play)
+
+
 @pytest.mark.parametrize("what", ["flip", "gone"])
 def test_a_bad_disk_costs_hits_not_answers(tmp_path, what):
     node = FakeNode(holds_all=True)
