--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from ironhinge.jobs.plan import Budgets
+from ironhinge.jobs.runner import Runner
 from ironhinge.lab.nodes import Store
 from ironhinge.lab.scenes import SCENES, asks, scene
 from ironhinge.settings.load import load_texts
@@ -169,8 +171,9 @@
     code = (
         "import sys, ironhinge.cli, ironhinge.net.service\n"
         "bad = {'lark', 'msgspec', 'xxhash', 'hdrh', 'prometheus_client', 'matplotlib', 'numpy',"
-        " 'ironhinge.traffic.ledger', 'ironhinge.lab.run', 'ironhinge.disk.store', 'ironhinge.jobs.runner'} &
-        set(sys.modules)\n" "assert not bad, bad"
+        " 'ironhinge.traffic.ledger', 'ironhinge.lab.run', 'ironhinge.disk.store',"
+        " 'ironhinge.jobs.runner'} & set(sys.modules)\n"
+        "assert not bad, bad"
     )
     assert subprocess.run([sys.executable, "-c", code]).returncode == 0
 
