An answer's tag is part of what the machines are tested for

Cause: answers carry their tag since copies of our own are kept with it; the test of the machine compared without.

--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -114,7 +114,7 @@
     out, faults = same_at_every_cut(nodewire.NodeWire, data)
     assert not faults and [each.id for each in out] == ["a1", "a2", "a3", "a4", "p1"]
     assert out[0] == nodewire.Answer(
-        "a1", Ending.SERVED, 2, {"inflight": 7.0, "util": 0.61}, 1764576000123, True, b"by\r\ntes"
+        "a1", Ending.SERVED, 2, {"inflight": 7.0, "util": 0.61}, 1764576000123, True, b"by\r\ntes", "4b"
     )
     assert [each.ending for each in out[1:]] == [Ending.MISSED, Ending.SAME, Ending.FULL, Ending.AILING]
 
