Streams keep their places while they need no fills, and under new settings

Cause: read over the whole change: a stream whose parts were hits for longer than 'idle' lost its place and could be refused in the middle; new settings forgot all open streams; datagrams between directors went nowhere without an address for all of the tier.

Change: each part asked for counts; streams are adopted at SIGHUP; peers are told one by one where there is no address for all, and not at all where the settings forbid it.

--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -468,7 +468,16 @@
                 pass  # datagrams may be lost
 
     def tell_peers(self, data: bytes) -> None:
-        self._say(face.Say(None, data))
+        """To all of the tier at once, or to each where there is no address for all; nothing where the
+        settings do not allow it."""
+        told = self.told
+        if not told.deployment.peers:
+            return
+        if told.peers_all is not None:
+            return self._say(face.Say(None, data))
+        for place, peer in enumerate(told.peers):
+            if peer != told.peer_listen:
+                self._say(face.Say(place, data))
 
     def _log(self, act: face.Log) -> None:
         logger.info("module: {}", act.text)
--- a/ironhinge/traffic/keeper.py
+++ b/ironhinge/traffic/keeper.py
@@ -142,6 +142,13 @@
         self._do(self.ledger.restore(old.plain(True), self.now()))
         self.ledger.fills = old.fills  # what is out is settled where it was charged
         self.ledger.means, self.ledger.crossed = old.means, old.crossed
+        if old.streams is not None and self.ledger.streams is not None:
+            budgets = self.ledger.budgets
+            books = {
+                id(budget.book): budgets[name].book if name in budgets else None
+                for name, budget in old.budgets.items()
+            }
+            self.ledger.streams.adopt(old.streams, books)
         if old.sharing is not None and self.ledger.sharing is not None:
             self.ledger.sharing.peers = old.sharing.peers  # a grant taken once must not be taken again
 
--- a/ironhinge/traffic/ledger.py
+++ b/ironhinge/traffic/ledger.py
@@ -297,6 +297,8 @@
         came, node = what.came, self.nodes.get(what.node)
         if node is None:
             return
+        if self.streams is not None and self.facts.vhosts[came.vhost].parts:
+            self.streams.goes_on((came.viewer, came.obj), came.vhost, now)  # also where it needs no fill
         behind = node.kind in (self.facts.parent_kind, self.facts.origin_kind)
         name = what.node if behind else what.source  # past the caches the node itself is what bytes come from
         source = self.nodes.get(name)
--- a/ironhinge/traffic/streams.py
+++ b/ironhinge/traffic/streams.py
@@ -75,6 +75,22 @@
         stream.at = now
         self._rebook(stream, part or stream.part, books)
 
+    def goes_on(self, key: Key, vhost: int, now: int) -> None:
+        """Its next part is asked for, whatever becomes of it; nothing where no such stream is open."""
+        stream = self.find(key, now)
+        if stream is not None:
+            self.part_came(key, vhost, stream.part, now, ())
+
+    def adopt(self, other: "Streams", books: Dict[int, Optional[StreamBook]]) -> None:
+        """Goes on with the streams of before; `books`: what a book of before is now, by its identity."""
+        self.gaps, self.lengths = other.gaps, other.lengths
+        self.trial, self.open = other.trial, other.open
+        for stream in (*self.trial.values(), *self.open.values()):
+            now = [books.get(id(book)) for book in stream.books]
+            stream.books = tuple(book for book in now if book is not None)
+            for book in stream.books:
+                book.add(stream.rate, stream.part, 1)
+
     def _rebook(self, stream: Stream, part: float, more: Sequence[StreamBook]) -> None:
         for book in stream.books:
             book.add(stream.rate, stream.part, -1)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -396,6 +396,26 @@
     assert carried(one) <= 100_000 * 45 + 100_000
 
 
+def test_a_stream_that_needs_no_fills_for_a_while_keeps_its_place():
+    one = ledger(STREAMS, facts_of_streams())
+    spend(one, 0, "r0", obj=1, viewer=1)
+    for part in range(1, 12):
+        send(one, part * 5000, f"r{part}", source="", obj=1, viewer=1, part=part)
+    assert one.budgets["l"].book.open == 1
+    one.step(12 * 5000 + 4 * S, Tick(UNIX))
+    assert one.budgets["l"].book.open == 0
+
+
+def test_streams_go_on_under_new_settings():
+    old, new = (ledger(STREAMS, facts_of_streams()) for _ in range(2))
+    for viewer in range(3):
+        spend(old, 0, f"r{viewer}", obj=viewer, viewer=viewer + 1)
+    new.streams.adopt(old.streams, {id(old.budgets["l"].book): new.budgets["l"].book})
+    assert new.budgets["l"].book.open == 3 and not spend(new, 5000, "next", obj=1, viewer=2, part=1)
+    new.step(9 * S, Tick(UNIX))
+    assert (new.budgets["l"].book.open, new.budgets["l"].book.promised) == (0, 0)
+
+
 def test_places_of_streams_that_stop_are_given_back():
     one = ledger(STREAMS, facts_of_streams())
     book = one.budgets["l"].book
