The account wakes the program twice a second instead of ten times

Change: a tick each half second unless budgets are shared; the runner of background work looks each second unless something is due.

--- a/ironhinge/jobs/runner.py
+++ b/ironhinge/jobs/runner.py
@@ -17,7 +17,7 @@
 from .plan import Budgets, Cancelled, Doing, Event, Job, Late, Plan, Run, Sliced, Stop, Submitted, Tick, Wake
 
 Work = Callable[[], Iterator[int]]
-IDLE = 0.25  # seconds between two looks where nothing is known to come sooner
+IDLE = 1.0  # seconds between two looks where nothing is known to come sooner
 
 
 class Runner:
--- a/ironhinge/traffic/keeper.py
+++ b/ironhinge/traffic/keeper.py
@@ -24,7 +24,7 @@
 from .types import Doing, Ended, Heard, Note, Sent, Tell, Tick
 
 ENDS = ".traffic"
-TICK = 0.1  # seconds
+TICK, SHARING_TICK = 0.5, 0.05  # seconds; each wakes the program, so as few as budgets bear
 PATIENCE = 5  # seconds that a slow disk may take before it is said
 
 
@@ -202,8 +202,9 @@
         """Ticks, and writes a snapshot now and then, for as long as the program runs."""
         waited = 0.0
         while True:
-            await anyio.sleep(TICK)
-            waited += TICK
+            tick = SHARING_TICK if self.told.share is not None else TICK
+            await anyio.sleep(tick)
+            waited += tick
             self._do(self.ledger.step(self.now(), Tick(self.unix_ms())))
             if self.metrics is not None:
                 self.metrics.show(self.ledger)
