--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -4,20 +4,17 @@
 
 import json
 import sys
-from typing import Any, Callable, Optional, Tuple
+from importlib import import_module
+from typing import Any, Callable, List, Optional, Tuple
 
 import click
 from loguru import logger
 
 from . import __version__
-from .disk.cli import disk
 from .facts import Assignment, Malformed, address, assignment
-from .jobs.cli import jobs
-from .lab.cli import lab
-from .settings.cli import settings
-from .traffic.cli import traffic
 
 LEVELS = ("debug", "info", "warning", "error")
+GROUPS = ("disk", "jobs", "lab", "settings", "traffic")  # packages that bring commands of their own
 LINE = "{time:HH:mm:ss.SSS} {level} {message}"
 
 config_option = click.option(
@@ -62,7 +59,19 @@
         sys.exit(2)
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class Commands(click.Group):
+    """Imports a package's commands when they are called: `serve` starts with nothing that is not on."""
+
+    def list_commands(self, ctx: click.Context) -> List[str]:
+        return sorted([*super().list_commands(ctx), *GROUPS])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> Optional[click.Command]:
+        if cmd_name in GROUPS:
+            return getattr(import_module(f".{cmd_name}.cli", __package__), cmd_name)
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """A router before tiers of caches with one origin behind them."""
 
@@ -178,9 +187,3 @@
     """Print the version."""
     click.echo(f"ironhinge {__version__}")
 
-
-main.add_command(disk)
-main.add_command(jobs)
-main.add_command(settings)
-main.add_command(traffic)
-main.add_command(lab)
