Connections end in order: nothing begins for clients that left, nothing is lost at the close

Lines at fault and mends: - Director.left called nothing off where the settings allow no giving up: a dispatch that waited for its connection was written after its client had gone. What is unbegun is taken back now. - Link._fill took frames into the ring while the system took nothing; they counted as begun and could not be taken back by a drain, a purge or a leaving client. Link._unfill puts them back. - Link.end closed over unread bytes: a reset, which also takes the last answer along. Idle connections are ended on our side, read to the client's end within 0.1 s, then closed. - service._leave left connections in the backlog and unread reqs to the end of the process. It takes the backlog, closes the listener, ends each connection after its last answer, and answers at once what is read later. 0.7 s instead of 1 s of taking reqs, since with a client timeout of 0.3 s SIGKILL may come after 1 s. - A second answer to a dispatch could pass for the answer to the req's next one on the same connection. - NOMOD passed for the client's copy whatever digest it named.

--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -186,4 +186,3 @@
 def version() -> None:
     """Print the version."""
     click.echo(f"ironhinge {__version__}")
-
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -41,6 +41,7 @@
 AT_PEACE = SECOND  # one on which something was asked not before that, while there is any room at all; nor is
 # one to a node
 GROUPS = 256  # of objects, says the protocol
+DELIVERED = Ending.SERVED, Ending.SAME  # nothing follows these
 LINGER = SECOND  # what a client has left unread is given up after that
 
 
@@ -142,6 +143,7 @@
         self.shelf = shelf  # copies of our own, where operators turned them on
         self.router = Router(told.deployment, told.seed)
         self.router.purse, self.router.shelf = books, shelf
+        driver.give_way = self.give_way
         self.at_hand: Dict[
             str, Tuple[face.ReqCame, nodewire.Answer]
         ] = {}  # what came just now, while it may be kept
@@ -152,6 +154,7 @@
         self.queue: Deque[face.Happening] = deque()
         self.stepping = False
         self.leave_at: Optional[int] = None  # by then all is answered
+        self.no_more_at: Optional[int] = None  # reqs read after that are not taken
         self.feed: Optional[FeedLink] = None
         self.lag = 0  # the most that it was late, fading
         self.timers: List[Tuple[int, int, Union[str, Errand]]] = []
@@ -211,6 +214,10 @@
 
     def take(self, client: Client, message: Union[clientwire.Came, clientwire.Unreadable]) -> None:
         now = self.clock.now()
+        if self.no_more_at is not None and now > self.no_more_at:
+            # guards reqs that come when hardly any time is left: they are answered at once, and sent nowhere
+            client.link.write(clientwire.answer(message.stream, clientwire.DENIED, {}))
+            return
         try:
             if isinstance(message, clientwire.Unreadable):
                 raise ValueError(message.text)
@@ -264,6 +271,10 @@
         req.closed = req.gone = True
         self.counts["left"] += 1
         self.happen(face.Left(req.id))
+        if req.out is not None and req.out.taken_back():
+            # guards nodes against work for nobody, also where the settings allow no giving up of what has
+            # begun: what waits for its connection or behind a blocked socket has not
+            self.end(req.out, Ending.UNWRITTEN)
         self._forget(req)
 
     def abort(self, req: OpenReq) -> None:
@@ -314,6 +325,9 @@
         if errand.carrier is not None:
             errand.carrier.open.pop(errand.name, None)
             errand.carrier.idle_at = now
+            if answer is not None and ending not in DELIVERED:
+                # guards the req's next dispatch against a second answer to this one: it takes another way
+                errand.carrier.spent[errand.name] = now + SECOND
         took, node, note, load = now - errand.sent_at, errand.node.id, 0, None
         if answer is not None:
             note = answer.note
@@ -322,8 +336,9 @@
             return self.happen(face.Probed(node, RESULTS[ending], took, load))
         body = len(answer.body) if answer is not None and ending is Ending.SERVED else None
         req = errand.req
-        if ending is Ending.SAME and "have" not in req.fields:
-            ending = Ending.ERRED  # there is no copy that could be the same
+        have = req.fields.get("have")
+        if ending is Ending.SAME and (answer is None or not have or answer.tag != have):
+            ending = Ending.ERRED  # guards clients' copies: only the one that the node has named is the same
         if answer is not None and answer.dated and answer.dated < errand.oldest:
             ending = (
                 Ending.ERRED
@@ -608,10 +623,17 @@
             if client.since > now - SETTLED:
                 break
             if (pressing or not client.asked or client.since < now - AT_PEACE) and client.is_idle():
-                client.link.end(Ending.CLOSED)
+                client.part()
                 return True
         return False
 
+    def give_way(self) -> None:
+        """Guards the way to nodes where there are more of them than descriptors: the connection to a node
+        that has carried nothing for longest makes room for another."""
+        idle = [each for node in self.nodes.values() for each in node.links if each.is_idle()]
+        if idle:
+            min(idle, key=lambda each: each.idle_at).link.end(Ending.CLOSED)
+
     def report(self) -> str:
         counted = ", ".join(f"{name} {count}" for name, count in self.counts.items())
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
@@ -627,7 +649,8 @@
                 await anyio.sleep(FEED_AGAIN_MOST)
                 continue
             receiver = self.feed = FeedLink(self)
-            receiver.link = self.driver.dial(receiver, at, self.clock.seconds(self.told.transport.dial))
+            dial = self.clock.seconds(self.told.transport.dial)
+            receiver.link = self.driver.dial(receiver, at, dial, needed=True)
             while not receiver.over.is_set():
                 with anyio.move_on_after(self.clock.seconds(FEED_LOOK)):
                     await receiver.over.wait()
@@ -689,5 +712,12 @@
             client.link.write(clientwire.no_more())
         self.driver.flush()
 
-    def all_answered(self) -> bool:
-        return not any(each.open or each.link.pending or each.link.outward.held for each in self.clients)
+    def part_idle(self) -> bool:
+        """Parts with clients that have all their answers; True once nobody is left."""
+        if self.no_more_at is None:
+            self.no_more_at = self.clock.now()
+        for client in list(self.clients):
+            if client.is_idle() and not client.wire.held:
+                client.part()
+        self.driver.flush()
+        return not self.clients
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -31,7 +31,10 @@
 ACCEPTING = 0.85  # part of the descriptors in use from which accepting pauses; the rest is for nodes. Usual
 # clients hold a third at most, says the protocol
 ROOM_FROM = 0.9  # part of that from which idle connections are ended for new ones
+PARTING = 0.05  # part of the descriptors that connections may hold which end without counting as in use
 QUEUED = 0.25  # part of the memory that what is queued for slow readers may take
+TURNS = 3  # of the event loop until a connection that was ended has closed its socket
+FINISHING = 0.01  # seconds between reads of what nobody will look at
 PAUSE = 0.02  # seconds until accepting is tried again without descriptors
 
 
@@ -56,13 +59,14 @@
 class Frame:
     """Something to be written, in pieces."""
 
-    __slots__ = ("pieces", "size", "begun", "end", "mark", "until")
+    __slots__ = ("whole", "pieces", "size", "start", "end", "mark", "until")
 
     def __init__(self, pieces: Sequence[bytes], mark: int, until: Optional[float]):
-        self.pieces = deque(memoryview(piece) for piece in pieces if piece)
+        self.whole = [memoryview(piece) for piece in pieces if piece]
+        self.pieces = deque(self.whole)  # what is not in the ring yet
         self.size = sum(map(len, self.pieces))
-        self.begun = False  # some of it may be on its way
-        self.end: Optional[int] = None  # where it ends in all that the link has put into its ring
+        self.start: Optional[int] = None  # where it begins in all that the link has put into its ring
+        self.end: Optional[int] = None  # where it ends there, once it is whole in it
         self.mark = mark  # what its writer knows it by
         self.until = until  # nobody wants it after that
 
@@ -97,7 +101,8 @@
         self.driver, self.receiver = driver, receiver
         self.sock: Optional[socket.socket] = None
         self.inward, self.outward = Ring(inward), Ring(outward)
-        self.pending: Deque[Frame] = deque()
+        self.pending: Deque[Frame] = deque()  # not whole in the ring
+        self.in_ring: Deque[Frame] = deque()  # begun in the ring, and not wholly sent
         self.queued = 0  # bytes of pending frames
         self.put, self.sent = 0, 0  # bytes that went into the ring, and on to the system
         self.is_up = self.is_over = self.finishing = False
@@ -127,7 +132,7 @@
 
     def drop(self, frame: Frame) -> bool:
         """Takes back a frame of which nothing has been written."""
-        if frame.begun or frame not in self.pending:
+        if frame.start is not None or frame not in self.pending:
             return False
         self.pending.remove(frame)
         self._queue(-frame.size)
@@ -161,9 +166,12 @@
                 count = self.sock.send(data)
                 self.outward.taken(count)
                 self.sent += count
+                while self.in_ring and self.written(self.in_ring[0]):
+                    self.in_ring.popleft()
             if self.finishing:
                 self.sock.shutdown(socket.SHUT_WR)
         except BlockingIOError:
+            self._unfill()
             self.writing = anyio.CancelScope()
             self.driver.tasks.start_soon(self._wait_to_write)
         except OSError:
@@ -172,7 +180,9 @@
     def _fill(self) -> None:
         while self.pending and self.outward.held < self.outward.size:
             frame = self.pending[0]
-            frame.begun = True
+            if frame.start is None:
+                frame.start = self.put
+                self.in_ring.append(frame)
             while frame.pieces:
                 piece = frame.pieces[0]
                 count = self.outward.put(piece)
@@ -185,6 +195,22 @@
             self.pending.popleft()
             self._queue(-frame.size)
 
+    def _unfill(self) -> None:
+        """Frames of which the system took nothing wait outside the ring again. Guards what may still be taken
+        back while a peer reads nothing: a drain, a purge or a client that left must find it unbegun."""
+        while self.in_ring:
+            frame = self.in_ring[-1]
+            if frame.start is None or frame.start < self.sent:
+                return
+            self.in_ring.pop()
+            self.outward.untake(self.put - frame.start)
+            self.put = frame.start
+            if frame.end is not None:
+                self.pending.appendleft(frame)
+                self._queue(frame.size)
+            frame.start = frame.end = None
+            frame.pieces = deque(frame.whole)
+
     async def _wait_to_write(self) -> None:
         async def work() -> None:
             if self.sock is not None and not self.is_over:
@@ -196,15 +222,20 @@
         self.driver.flush()
 
     def finish(self) -> None:
-        """Ends our side of the connection once all that was queued is written."""
-        self.finishing = True
-        self.driver.dirty[self] = None
+        """Ends our side of the connection once all that was queued is written; what still comes is read and
+        dropped until the peer ends its side. Guards what was just written: a close over unread bytes resets
+        the connection and takes it along."""
+        if not self.finishing:
+            self.finishing = True
+            self.driver.finishing += 1
+            self.driver.dirty[self] = None
 
     def end(self, ending: Ending) -> None:
         """Ends the connection now and tells its receiver, once."""
         if self.is_over:
             return
         self.is_over = True
+        self.driver.finishing -= self.finishing
         self.scope.cancel()
         if self.writing is not None:
             self.writing.cancel()
@@ -219,6 +250,7 @@
         self.receiver.ended(self, ending)
         self._queue(-self.queued)
         self.pending.clear()
+        self.in_ring.clear()
         self.inward = self.outward = NO_RING  # gives the memory back without waiting for a collection
         self.receiver = NOBODY  # nor may a circle wait for one
 
@@ -233,8 +265,8 @@
         """Reads until the connection ends."""
         ring, reads = self.inward, 0
         while self.sock is not None and not self.is_over:
-            if self.finishing:  # guards the CPU against senders without end: nothing more is read
-                await anyio.sleep_forever()
+            if self.finishing and reads:  # guards the CPU against senders without end
+                await anyio.sleep(FINISHING)
             room = ring.room()
             try:
                 count = self.sock.recv_into(room)
@@ -245,6 +277,9 @@
                 return self.end(Ending.RESET)
             if not count:
                 return self.end(Ending.CLOSED)
+            reads += 1
+            if self.finishing:
+                continue
             self.heard_at = monotonic()
             ring.filled(count)
             self.receiver.receive(self, ring.data())
@@ -252,7 +287,6 @@
             self.driver.flush()
             if self.is_over:
                 return
-            reads += 1
             if count < len(room):  # that was all for now
                 await anyio.wait_readable(self.sock)
             elif reads % READS == 0:
@@ -282,10 +316,12 @@
         self.most = max(SPARE, min(limits.sockets or allowed, allowed) - SPARE)
         self.most_queued = QUEUED * limits.memory_mb * 2**20 or inf
         self.open = 0  # sockets
+        self.finishing = 0  # links that have said their last word and wait for the peer's
         self.queued = 0  # bytes of pending frames on all links
         self.links: Dict[Link, None] = {}
         self.dirty: Dict[Link, None] = {}  # those with something to write, in order
         self.short = False  # of descriptors, lately
+        self.give_way: Callable[[], None] = lambda: None  # ends a connection that can be spared
 
     def flush(self) -> None:
         while self.dirty:
@@ -302,29 +338,37 @@
         logger.warning("a connection with {} bytes unread is ended: memory is short", worst.queued)
         worst.end(Ending.CLOSED)
 
+    def in_use(self) -> int:
+        """Sockets, less the few whose peers have yet to end what we have ended."""
+        return self.open - min(self.finishing, int(PARTING * self.most))
+
     def is_crowded(self) -> bool:
-        return self.open >= ROOM_FROM * ACCEPTING * self.most
+        return self.in_use() >= ROOM_FROM * ACCEPTING * self.most
 
     def share_of(self, nodes: int) -> int:
         """Connections that each of so many nodes may have: what clients leave."""
         return max(1, int((1 - ACCEPTING) * self.most) // max(1, nodes))
 
-    def dial(self, receiver: Receiver, address: Address, within: float) -> Link:
-        """A link that comes up later, or ends."""
+    def dial(self, receiver: Receiver, address: Address, within: float, needed: bool = False) -> Link:
+        """A link that comes up later, or ends; one that is needed may use the spare descriptors."""
         link = Link(self, receiver, LARGE, SMALL)
         self.links[link] = None
 
         async def work() -> None:
-            await self._connect(link, address, within)
+            await self._connect(link, address, within, needed)
             self.flush()
             await link.read()
 
         self.tasks.start_soon(link.guarded, work, link.scope)
         return link
 
-    async def _connect(self, link: Link, address: Address, within: float) -> None:
-        if self.open >= self.most:
-            return link.end(Ending.UNWRITTEN)
+    async def _connect(self, link: Link, address: Address, within: float, needed: bool) -> None:
+        if self.open >= self.most and not needed:
+            self.give_way()
+            for _ in range(TURNS):  # the one that was ended gives its descriptor back
+                await lowlevel.checkpoint()
+            if self.open >= self.most:
+                return link.end(Ending.UNWRITTEN)
         try:
             sock = link.sock = _new_socket(socket.SOCK_STREAM)
         except OSError:
@@ -354,20 +398,22 @@
         receiver: Callable[[], Receiver],
         make_room: Callable[[bool], bool],
     ) -> None:
-        """Takes connections for ever; while descriptors are short they wait in the backlog."""
-        while True:
+        """Takes connections until the listener is closed; while descriptors are short they wait in the
+        backlog."""
+        while listener.fileno() >= 0:
             try:
-                full = self.open >= ACCEPTING * self.most
+                full = self.in_use() >= ACCEPTING * self.most or self.open >= self.most
                 if self.is_crowded() and make_room(full) and full:
                     await lowlevel.checkpoint()  # the one that was ended gives its descriptor back
                     continue
                 if full:
                     raise OSError(errno.EMFILE, f"{self.open} connections are open")
                 sock, _ = listener.accept()
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except BlockingIOError:
-                await anyio.wait_readable(listener)
+                try:
+                    await anyio.wait_readable(listener)
+                except anyio.ClosedResourceError:
+                    return
                 continue
             except OSError as fault:  # no descriptors, or the client has gone already
                 short = fault.errno in (errno.EMFILE, errno.ENFILE)
@@ -379,15 +425,32 @@
             if self.short and self.open < ACCEPTING * self.most / 2:
                 logger.info("accepting without pauses again")
                 self.short = False
-            self.open += 1
-            link = Link(self, receiver(), SMALL, LARGE)
-            link.sock, link.is_up = sock, True
-            self.links[link] = None
-            link.receiver.up(link)
-            self.flush()
-            self.tasks.start_soon(link.guarded, link.read, link.scope)
+            self.take(sock, receiver())
             await lowlevel.checkpoint()  # a crowd of new connections must not keep the others from being read
 
+    def take(self, sock: socket.socket, receiver: Receiver) -> None:
+        """A connection that was accepted."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.open += 1
+        link = Link(self, receiver, SMALL, LARGE)
+        link.sock, link.is_up = sock, True
+        self.links[link] = None
+        receiver.up(link)
+        self.flush()
+        self.tasks.start_soon(link.guarded, link.read, link.scope)
+
+    def take_the_last(self, listener: socket.socket, receiver: Callable[[], Receiver]) -> None:
+        """Takes all that waits in the backlog, and closes the listener in the same moment. Guards those whom
+        the machine has accepted: a closed backlog resets them, a later peer is refused and goes elsewhere."""
+        try:
+            while self.open < self.most:
+                self.take(listener.accept()[0], receiver())
+        except OSError:
+            pass  # that was all
+        anyio.notify_closing(listener)
+        listener.close()
+
 
 def _new_socket(kind: socket.SocketKind) -> socket.socket:
     sock = socket.socket(socket.AF_INET, kind)
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -27,6 +27,8 @@
 # will: usual ones write at once, and the protocol's users count 3 s until we must have said so
 IDLE = 45 * SECOND // 10  # clients close their idle connections after 4 s
 LINGER = SECOND // 2  # for reading why a connection ends; it is closed then, read or not
+PARTING = SECOND // 10  # for ending an idle connection on the other side too: a req may cross our end for
+# 50 ms, says the protocol, and the way takes some
 
 
 class Client:
@@ -40,6 +42,7 @@
         self.open: Dict[int, OpenReq] = {}  # by stream
         self.link: Link
         self.ending_at: Optional[int] = None  # when we began to end it
+        self.linger = PARTING  # how long the client may take to end it too
         self.asked = False  # has sent a frame
         self.since = director.clock.now()  # it is waited for: its first frame, the rest of one, or the next
 
@@ -87,16 +90,24 @@
         self._waits()
         self.link.write(clientwire.answer(req.stream, code, fields, body), req.stream, req.wanted_until)
 
+    def part(self) -> None:
+        """Ends a connection on which nothing is open: our side first, then all of it once the client has
+        ended its own. Guards a req that comes in that moment: its client sees an orderly end, not a reset,
+        and sends it elsewhere. What is read from here on is dropped."""
+        self.ending_at = self.director.clock.now()
+        self.link.finish()
+
     def _refuse(self, text: str) -> None:
         """Tells the client what is wrong, and ends the connection: what is open on it is aborted, since
         whoever breaks the protocol on a connection can't be trusted with the rest of it. Guards the nodes
         against crowds of reqs: what came with the breach has not been written to them yet."""
         self.director.complain("breaches", f"a client's connection is ended: {text}")
-        self.ending_at = self.director.clock.now()
+        self.ending_at = self.director.clock.now()  # nothing that its reqs cause is to come before this
         for req in list(self.open.values()):
             self.director.abort(req)
         self.link.write(clientwire.error(text))
-        self.link.finish()
+        self.part()
+        self.linger = LINGER
 
     def _waits(self) -> None:
         """Waiting begins anew."""
@@ -108,19 +119,20 @@
     def is_idle(self) -> bool:
         """True when nothing is open, nothing waits to be written, and nothing to be read."""
         link = self.link
-        return not (self.open or link.pending or link.outward.held or link.has_unread())
+        busy = self.open or self.ending_at is not None
+        return not (busy or link.pending or link.outward.held or link.has_unread())
 
     def look(self, now: int) -> None:
         """Ends the connection if its time is over."""
         if self.ending_at is not None:
-            if now > self.ending_at + LINGER:
+            if now > self.ending_at + self.linger:
                 self.link.end(Ending.CLOSED)
         elif self.wire.held:
             if now > self.since + BEGIN and not self.link.has_unread():  # it is not we who are late
                 self._refuse("a frame that does not end")
         elif self.is_idle() and now > self.since + (IDLE if self.asked else BEGIN):
             self.director.counts["idle"] += 1
-            self.link.end(Ending.CLOSED)
+            self.part()
 
     def ended(self, link: Link, ending: Ending) -> None:
         self.director.clients.pop(self, None)
@@ -201,6 +213,9 @@
         self.spent[errand.name] = errand.until + SECOND
         return self.link.write_now((nodewire.never_mind(errand.name),))
 
+    def is_idle(self) -> bool:
+        return self.link.is_up and not self.open
+
     def look(self, now: int, idle_since: int) -> None:
         """Ends the connection if it is of no use any more."""
         if not self.link.is_up:
--- a/ironhinge/net/ring.py
+++ b/ironhinge/net/ring.py
@@ -37,6 +37,12 @@
         self.held -= count
         self.start = (self.start + count) % self.size if self.held else 0
 
+    def untake(self, count: int) -> None:
+        """The last `count` bytes that were put are taken back."""
+        if not 0 <= count <= self.held:
+            raise ValueError("more than is held")
+        self.held -= count
+
     def put(self, data: memoryview) -> int:
         """Copies as much as there is room for; returns how much."""
         done = 0
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -8,7 +8,8 @@
 import asyncio
 import gc
 import signal
-from typing import Any, AsyncIterator, Awaitable, Callable, Optional
+import socket
+from typing import Any, AsyncIterator, Awaitable, Callable, Optional, Tuple
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,11 +20,15 @@
 from .links import Driver, Poll, datagrams, listen
 from .parties import Client
 
-STILL_COMING = 1.0  # seconds after SIGTERM in which connections, and reqs on them, still come
+STILL_COMING = 0.7  # seconds after SIGTERM in which connections, and reqs on them, still come: 0.6 says the
+# platform
+LOOK = 0.02  # seconds between looks for clients that have all their answers
 COLLECT = 20_000, 20, 20  # ordinary work leaves no cycles, and a pause grows with the module's tables
-CLOSE = 3 * SECOND + 700 * MS  # SIGKILL may come that long after SIGTERM; sooner if the longest client
-# timeout is under 3 s
+KILLED = 700 * MS  # SIGKILL may come the longest client timeout, or LONGEST if that is less, and this long
+# after SIGTERM
+LONGEST = 3 * SECOND
 WRITE_OUT = 200 * MS  # kept of that for writing the last answers
+LAST = 100 * MS  # kept of that for the end itself
 AGAIN = 0.05  # seconds until a task that failed is started again
 HEARD = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
 
@@ -63,12 +68,12 @@
     with anyio.open_signal_receiver(*HEARD) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
         async with anyio.create_task_group() as tasks:
-            director = _start(told, poll, tasks, books, shelf)
+            director, listener = _start(told, poll, tasks, books, shelf)
             if runner is not None:
                 tasks.start_soon(_keep, runner.run)
             await _until_told_to_leave(signals, director, read_again, books)
             tasks.start_soon(_until_told_to_leave, signals, None, read_again, books)  # it is ending already
-            await _leave(director)
+            await _leave(director, listener)
             for each in (books, shelf):
                 if each is not None:
                     each.close()
@@ -94,7 +99,9 @@
             logger.error("SIGHUP: {}; the old configuration holds", fault)
 
 
-def _start(told: Assignment, poll: Poll, tasks: TaskGroup, books: Any, shelf: Any) -> Director:
+def _start(
+    told: Assignment, poll: Poll, tasks: TaskGroup, books: Any, shelf: Any
+) -> Tuple[Director, socket.socket]:
     """What is known goes to the module first; then clients may come."""
     driver = Driver(tasks, told.limits, poll)
     director = Director(told, driver, books, shelf)
@@ -114,17 +121,19 @@
     gc.freeze()  # what lives for good is not looked at again
     gc.set_threshold(*COLLECT)
     logger.info("{} serves on {}:{}", told.name or "director", *told.listen)
-    return director
+    return director, listener
 
 
-async def _leave(director: Director) -> None:
+async def _leave(director: Director, listener: socket.socket) -> None:
     """Takes and answers what still comes, for as long as the platform says that it does, and all before it
-    may end the program by force."""
+    may end the program by force. Then the backlog is taken and closed, each connection is ended in order once
+    its last answer is written, and the program ends when no client is left."""
     logger.info("leaving: {}", director.report())
-    left = min(director.router.longest + CLOSE - 3 * SECOND, CLOSE) - WRITE_OUT
-    director.leave(left)
-    await anyio.sleep(STILL_COMING)
-    with anyio.move_on_after(director.clock.seconds(left + WRITE_OUT) - STILL_COMING):
-        while not director.all_answered():
-            await anyio.sleep(AGAIN)
+    killed = min(director.router.longest, LONGEST) + KILLED
+    director.leave(killed - WRITE_OUT)
+    with anyio.move_on_after(director.clock.seconds(killed - LAST)):
+        await anyio.sleep(STILL_COMING)
+        director.driver.take_the_last(listener, lambda: Client(director))
+        while not director.part_idle():
+            await anyio.sleep(LOOK)
     logger.info("left: {}", director.report())
