--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -64,7 +64,8 @@
     async def run():
         async with anyio.create_task_group() as tasks:
             director = Director(told, Driver(tasks, told.limits, Poll()))
-            director.router, director.peers = script, datagrams
+            director.router = script(told.deployment, told.seed) if isinstance(script, type) else script
+            director.peers = datagrams
             director.start()
             for work in (director.keep_time, director.keep_watch, director.hear_peers):
                 tasks.start_soon(work)
--- /dev/null
+++ b/tests/test_moments.py
@@ -0,0 +1,337 @@
+"""Bytes, closes and signals that come in just the wrong moment, each forced to come then."""
+
+import os
+import signal
+import socket
+import time
+
+import anyio
+import pytest
+
+from ironhinge import interface as face
+from ironhinge.brain import Router
+from ironhinge.facts import Address, Limits
+from ironhinge.net import clientwire
+from ironhinge.net.links import Driver, Poll, listen
+from ironhinge.net.parties import Client
+from ironhinge.net.service import _leave
+
+from .helpers import (
+    PATIENCE,
+    FakeClient,
+    FakeCoordinator,
+    FakeNode,
+    Program,
+    ack,
+    configuration,
+    endpoint,
+    free_port,
+    resp,
+    settings,
+)
+from .test_director import TRACE, Scripted, ask, came, play
+
+DENIED = 2
+
+
+class Heard:
+    """A receiver that keeps what came."""
+
+    def __init__(self):
+        self.link, self.data, self.over = None, b"", False
+
+    def up(self, link):
+        self.link = link
+
+    def receive(self, link, data):
+        self.data += bytes(data)
+
+    def ended(self, link, ending):
+        self.over = True
+
+
+def connected(scene):
+    """Runs a scene with a link of a driver's and the plain socket at its other end; buffers are small."""
+
+    async def run():
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.socket()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        peer.connect(listener.getsockname())
+        async with anyio.create_task_group() as tasks:
+            driver, heard = Driver(tasks, Limits(0, 0), Poll()), Heard()
+            driver.take(listener.accept()[0], heard)
+            heard.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            with anyio.fail_after(PATIENCE):
+                await scene(heard, peer)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def all_of(peer):
+    """What comes on a socket up to its orderly end; a reset raises."""
+    peer.setblocking(False)
+    data = b""
+    while True:
+        with anyio.fail_after(PATIENCE):
+            await anyio.wait_readable(peer)
+        more = peer.recv(65536)
+        if not more:
+            return data
+        data += more
+
+
+def test_what_the_system_has_not_taken_can_be_taken_back():
+    """Guards drains, purges and clients that left while a peer reads nothing: a frame that lies in the ring
+    behind others has not begun."""
+
+    async def scene(heard, peer):
+        link = heard.link
+        frames = [link.write([bytes([65 + i]) * 3000, b"."]) for i in range(20)]
+        link.pump()
+        assert link.writing is not None  # the system takes no more
+        begun = [frame for frame in frames if not link.drop(frame)]
+        assert 0 < len(begun) < 15 and begun == frames[: len(begun)]
+        last = link.write([b"last"])
+        link.finish()
+        link.driver.flush()
+        data = await all_of(peer)
+        expected = b"".join(bytes([65 + i]) * 3000 + b"." for i in range(len(begun)))
+        assert data == expected + b"last" and link.written(last) and not link.driver.queued
+
+    connected(scene)
+
+
+def test_nothing_begins_for_a_client_that_left_where_nothing_may_be_called_off():
+    """A dispatch that waits for its connection is not written once its client has gone."""
+    node = FakeNode(holds_all=True)
+    script = Scripted(ReqCame=[ask(), lambda now: [face.Ask(TRACE[::-1], "s-00000001", now + 90000)]])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        client.receive(client.link, memoryview(b"".join(clientwire.frame(9, 1))))
+        director.driver.flush()
+        (link,) = director.nodes["s-00000001"].links
+        await until(lambda: link.link.is_up)
+        director.take(client, came(2, trace=TRACE[::-1]))
+        director.driver.flush()
+        await until(lambda: len(script.got(face.Outcome)) == 2)
+
+    play(script, scene, (node, node))
+    assert [end.result for end in script.got(face.Outcome)] == ["unsent", "done"]
+    assert node.next()[1] == TRACE[::-1] and node.wanted == {TRACE[::-1]}
+
+
+@pytest.mark.parametrize("by", ["sweep", "crowd"])
+def test_a_req_that_crosses_the_close_of_an_idle_connection_meets_no_reset(by):
+    """The bytes come right after the look for unread ones. A reset would also take what was just written."""
+    script = Scripted()
+
+    async def scene(director, _, until):
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.create_connection(listener.getsockname())
+        client = Client(director)
+        director.driver.take(listener.accept()[0], client)
+        client.link.has_unread = lambda: False
+        peer.sendall(b"".join(clientwire.frame(7, 1, b"\0")))
+        answer = client.link.write((b"answer",))
+        client.link.pump()
+        assert client.link.written(answer)
+        now = director.clock.now()
+        if by == "sweep":
+            client.look(now + 10**6)
+        else:
+            client.since = now - 10**6
+            assert director.make_room(True)
+        client.linger = 10**6
+        director.driver.flush()
+        assert await all_of(peer) == b"answer"
+        for _ in range(2):  # what comes later still meets none
+            peer.sendall(b"more")
+            await anyio.wait_all_tasks_blocked()
+        assert not peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        peer.close()
+        await until(lambda: client not in director.clients)
+
+    play(script, scene)
+    assert not script.got(face.ReqCame)
+
+
+def test_a_second_answer_is_not_taken_for_the_next_dispatchs():
+    """A node answers twice, and the second answer comes when the same req is out there again."""
+    conns = []
+
+    def act(told):
+        if told[0] != "want":
+            return None
+        conns.append(told[3])
+        if len(conns) == 1:
+            return resp(told[1], "EIO", "-", b"")
+        conns[0].sendall(resp(told[1], "NOENT", "-", b""))
+        return ack(told[1], b"the bytes") if conns[1] is not conns[0] else None
+
+    node = FakeNode(act)
+    script = Scripted(ReqCame=[ask()], Outcome=[ask()])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        await until(lambda: len(script.got(face.Outcome)) == 2)
+
+    play(script, scene, (node, node))
+    assert [end.result for end in script.got(face.Outcome)] == ["error", "done"]
+
+
+@pytest.mark.parametrize("named", ["digest=aaaa", "res=h"])
+def test_a_clients_copy_is_current_only_if_the_node_names_it(named):
+    node = FakeNode(lambda told: resp(told[1], "NOMOD", f"dated={int(time.time() * 1000)},{named}", b""))
+    script = Scripted(ReqCame=[ask()])
+
+    async def scene(director, client, until):
+        director.take(client, came(1, have="4be0c1927d55a6f3"))
+        director.driver.flush()
+        await until(lambda: script.got(face.Outcome))
+        assert not client.link.frames
+
+    play(script, scene, (node, node))
+    assert script.got(face.Outcome)[0].result == "error"
+
+
+def test_the_coordinator_is_reached_while_no_descriptor_is_left_for_others():
+    coordinator = FakeCoordinator()
+
+    async def scene(director, client, until):
+        director.driver.most = director.driver.open
+        director.driver.tasks.start_soon(director.follow)
+        await until(lambda: director.feed is not None and director.feed.link.is_up)
+
+    play(Scripted(), scene, coordinator=coordinator.address)
+
+
+def test_an_idle_connection_to_a_node_makes_room_for_another_nodes():
+    """Guards the way to nodes where there are more of them than descriptors."""
+    nodes = FakeNode(holds_all=True), FakeNode(holds_all=True)
+    script = Scripted(ReqCame=[ask(), ask("s-00000002", name=TRACE[::-1])])
+
+    async def scene(director, client, until):
+        director.driver.most = director.driver.open + 1
+        for stream, trace in enumerate((TRACE, TRACE[::-1])):
+            director.take(client, came(stream + 1, trace=trace))
+            director.driver.flush()
+            await until(lambda: len(script.got(face.Outcome)) == director.counts["reqs"])
+
+    play(script, scene, nodes)
+    assert [end.result for end in script.got(face.Outcome)] == ["done", "done"]
+
+
+def test_reqs_read_when_all_is_said_are_answered_at_once_and_sent_nowhere():
+    script = Scripted()
+
+    async def scene(director, client, until):
+        director.leave(5000)
+        director.part_idle()
+        director.no_more_at -= 1
+        director.take(client, came(1))
+        assert client.link.frames[-1] == b"".join(clientwire.answer(1, DENIED, {}))
+
+    play(script, scene)
+    assert not script.got(face.ReqCame)
+
+
+def test_the_backlog_is_taken_before_the_listener_closes():
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            driver, heard = Driver(tasks, Limits(0, 0), Poll()), []
+            listener = listen(Address("127.0.0.1", 0))
+            at = listener.getsockname()
+            tasks.start_soon(driver.accept, listener, Heard, lambda pressing: False)
+            await anyio.wait_all_tasks_blocked()
+            peers = [socket.create_connection(at) for _ in range(3)]  # no turn for accept
+            driver.take_the_last(listener, lambda: heard.append(Heard()) or heard[-1])
+            assert len(heard) == 3 and all(each.link.is_up for each in heard)
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(at)
+            for peer in peers:
+                peer.sendall(b"a req")
+            with anyio.fail_after(PATIENCE):
+                while any(each.data != b"a req" for each in heard):
+                    await anyio.sleep(0.005)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def short_settings():
+    """Reqs live for 0.3 s, so that SIGKILL may come 1 s after SIGTERM."""
+    told = settings()
+    for vhost in told["classes"]:
+        vhost.update(aim=100000, deadline=300000)
+    return told
+
+
+def test_leaving_ends_each_resting_connection_in_order_before_the_program_may_be_killed():
+    """And not the end of the program: it resets what holds unread bytes. The backlog's one is ended too."""
+    seen = []
+
+    async def scene(director, client, until):
+        listener = listen(Address("127.0.0.1", 0))
+        peers = [socket.create_connection(listener.getsockname()) for _ in range(2)]
+        director.driver.take(listener.accept()[0], Client(director))
+        began = time.monotonic()
+        await _leave(director, listener)
+        assert time.monotonic() - began < 1.0
+        for peer in peers:  # now, and not when a sweep finds them idle
+            peer.setblocking(False)
+            seen.append([peer.recv(1000), peer.recv(1000)])
+
+    play(Router, scene, settings=short_settings())
+    assert seen == [[b"".join(clientwire.no_more()), b""]] * 2
+
+
+@pytest.fixture
+def short(tmp_path):
+    """A director before one silent node."""
+    node, told = FakeNode(lambda told: None), short_settings()
+    listen_at = f"127.0.0.1:{free_port()}"
+    rows = [endpoint("s-00000001", node.address)]
+    program = Program(tmp_path, configuration(rows, listen_at, settings=told))
+    yield program, node
+    program.stop()
+
+
+def test_a_resting_connection_is_ended_in_order_and_a_late_req_reaches_no_node(short):
+    """Also where SIGKILL may come 1 s after SIGTERM, and with a second SIGTERM and a SIGHUP meanwhile."""
+    program, node = short
+    resting, busy = FakeClient(program.port), FakeClient(program.port)
+    assert resting.is_ready()
+    stream = busy.ask(patience=300)
+    node.next()
+    program.process.send_signal(signal.SIGTERM)
+    began = time.monotonic()
+    assert busy.frame()[:2] == (3, 0)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        program.process.send_signal(number)
+    assert busy.answer(stream)[0] == DENIED
+    assert resting.frame()[:2] == (3, 0)
+    with pytest.raises(EOFError):  # and not a reset
+        resting.frame()
+    resting.ask(patience=300)
+    try:
+        assert resting.sock.recv(1) == b""
+    except ConnectionError:
+        pass  # it came after the end of both sides
+    for each in (resting, busy):
+        each.sock.close()
+    assert program.process.wait(timeout=PATIENCE) == 0 and time.monotonic() - began < 1.0
+    assert len(node.wanted) == 1
+
+
+def test_serve_imports_only_what_is_on():
+    """What is off costs no time at the start, and the deploy file's list of parts stays true."""
+    code = (
+        "import sys, ironhinge.cli, ironhinge.net.service;"
+        "print(*sorted({name.split('.')[1] for name in sys.modules if name.startswith('ironhinge.')}))"
+    )
+    found = os.popen(f'{os.sys.executable} -c "{code}"').read().split()
+    assert found == ["brain", "cli", "facts", "interface", "net"]
