Cold nodes: unused room lapses, so that all routers together keep to the rule; repeats begin in time

Read in brain.in_budget: room grew to one req and was spent while it was 0 or more, so each router could send two at once after a pause. With 30 routers before a node whose N is 14, 60 reqs could go in one moment (24 are allowed with chance). Room that nobody used lapses now; rooms of all routers come to half of (1 - margin) N + 2 root N + 2. With weights 'none' nothing was carried right after a restart, room never grew, and where all nodes were cold none was ever asked: one req of all routers in the rule's time is always dared. A repeat of a uniqued req that waited for its connection could be written after the window in which repeats are dropped: dispatches carry 'begin_by'.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -426,17 +426,19 @@
         if req.vhost.facts.effect == "replayable":
             # a silent node must leave time for another dispatch before the client timeout
             until = min(end, max(end - int(ROOM * req.work), now + (end - now) // 2))
+        ran = req.may_have_run if req.vhost.facts.effect != "replayable" else None
+        begin = ran[1] + req.vhost.facts.window if ran else 0  # later it would run again
         limit = self.age_limit(req)
         behind = node.row.kind in (facts.parent_kind, facts.origin_kind)
         if source is node and (node is self.origin or not behind and not limit):
-            act: face.Action = face.Ask(req.id, node.id, until)
+            act: face.Action = face.Ask(req.id, node.id, until, begin)
         else:
             if source is node and node in self.parents and self.origin is not None:
                 source = self.origin
             renew = bool(req.vhost.facts.fresh) and source is not node
             # guards against pushing a crowded origin further, each parent asking it anew; see blame
             held = source in self.parents and self.origin is not None and now < self.origin.full_until
-            act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, renew, held)
+            act = face.Fetch(req.id, node.id, until, source.id, rank, limit, facts.joins, renew, held, begin)
         req.node, req.source, req.sent_at = node, source if source is not node else None, now
         req.dispatches += 1
         inlet = self.inlet if req.source is not None or node.row.zone != facts.zone else None
@@ -619,8 +621,10 @@
         """Guards 'no cold node pushed over'. Our share of a budget is taken from what we ourselves have
         warm nodes of its kind carry: summed over all routers that stays under what such a node can do. Each
         req overdraws it by what it weighs, and the first one waits a chance part of that, so that many
-        routers with a req each fall apart in time. Harms where most nodes are cold at once, as part of their
-        room goes unused."""
+        routers with a req each fall apart in time. Room that nobody used lapses past `keep`, and the
+        turn begins anew: also when all routers have a req at once, their rooms together come to half of what
+        the rule leaves besides; the other half is chance. Harms where many routers see few reqs each,
+        as most room lapses."""
         if node is self.origin or not self.is_cold(node):
             node.room = None
             return True
@@ -631,15 +635,19 @@
             least, length, multiple = facts.parent_cold_from, facts.parent_cold, facts.parent_fall_multiple
         age = max(0, self.now - facts.fall - max(node.row.started, node.lost_at))
         share = least + (1 - least) * age / max(1, length)
-        if facts.weights in ("nominal", "rough"):
-            capacity = node.row.weight / (facts.routers if parent else facts.routers_here)
-        else:
-            capacity = self.carried_by_kind(node.row.kind)
+        routers, weight = facts.routers if parent else facts.routers_here, self.weight(req, node)
+        told = facts.weights in ("nominal", "rough")
+        capacity = node.row.weight / routers if told else self.carried_by_kind(node.row.kind)
+        allowed = multiple * share * capacity  # ours
+        most = allowed * routers * facts.fall / weight  # of all routers together, in reqs: N in the rule
+        keep = weight * ((1 - COLD_MARGIN) * most / 2 + most**0.5 + 1) / routers
         if node.room is None:
-            node.room = -self.chance.share() * self.weight(req, node)
-        else:
-            gained = COLD_MARGIN * multiple * share * capacity * (self.now - node.room_at)
-            node.room = min(self.weight(req, node), node.room + gained)
+            node.room = -self.chance.share() * weight
+        else:  # two reqs of all routers together are always allowed; we dare one
+            gain = max(COLD_MARGIN * allowed, weight / (routers * max(1, facts.fall)))
+            node.room += gain * (self.now - node.room_at)
+        if node.room > keep:
+            node.room = (node.room + weight) % (weight + keep) - weight
         node.room_at = self.now
         return node.room >= 0
 
--- a/ironhinge/interface.py
+++ b/ironhinge/interface.py
@@ -193,6 +193,7 @@
     id: str
     node: str
     until: int
+    begin_by: int = 0  # not begun by then it must never be; 0: any time
 
 
 class Fetch(NamedTuple):
@@ -208,6 +209,7 @@
     join: bool
     renew: bool
     held_only: bool  # the source gives only what it holds
+    begin_by: int = 0  # not begun by then it must never be; 0: any time
 
 
 class Serve(NamedTuple):
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -383,7 +383,7 @@
     # Actions
 
     def _ask(self, act: face.Ask) -> None:
-        self._dispatch(act.id, act.node, act.until, None, {})
+        self._dispatch(act, None, {})
 
     def _fetch(self, act: face.Fetch) -> None:
         how: Dict[str, str] = {}
@@ -399,11 +399,12 @@
         text = "+".join(word for word, on in hints if on)
         if text:
             how["hints"] = text
-        self._dispatch(act.id, act.node, act.until, self.nodes.get(act.source), how, oldest)
+        self._dispatch(act, self.nodes.get(act.source), how, oldest)
 
     def _dispatch(
-        self, name: str, to: str, until: int, source: Optional[Node], how: Dict[str, str], oldest: int = 0
+        self, act: Union[face.Ask, face.Fetch], source: Optional[Node], how: Dict[str, str], oldest: int = 0
     ) -> None:
+        name, to, until = act.id, act.node, act.until
         req, now = self.reqs.get(name), self.clock.now()
         if req is None:
             return
@@ -423,6 +424,9 @@
         if req.fields.get("have"):
             fields["got"] = req.fields["have"]
         self._send(out, nodewire.want(name, fields, req.body), until)
+        if act.begin_by:
+            out.begin_by = act.begin_by
+            self._at(act.begin_by, out)
 
     def _serve(self, act: face.Serve) -> None:
         req = self.reqs.get(act.id)
@@ -564,7 +568,12 @@
                 if when > now and not what.over:
                     return
                 heappop(self.timers)
-                if not what.over:
+                if when == what.begin_by:
+                    # guards 'no effect twice' where repeats are dropped for a while only: what still waits
+                    # for its connection when that is over would run again
+                    if not what.over and what.taken_back():
+                        self.end(what, Ending.UNWRITTEN)
+                elif not what.over:
                     self.lag = max(self.lag, now - when)
                     self._give_up(what, Ending.TIMED_OUT)
 
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -144,11 +144,11 @@
 class Errand:
     """What is out at a node: a dispatch of a req, or a probe."""
 
-    __slots__ = ("name", "node", "sent_at", "until", "carrier", "frame", "over")
+    __slots__ = ("name", "node", "sent_at", "until", "begin_by", "carrier", "frame", "over")
 
     def __init__(self, name: str, node: Node, sent_at: int):
         self.name, self.node, self.sent_at = name, node, sent_at  # the name is its id on the wire
-        self.until = sent_at
+        self.until, self.begin_by = sent_at, 0
         self.carrier: Optional[NodeLink] = None
         self.frame: Optional[Frame] = None
         self.over = False
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -4,12 +4,13 @@
 import signal
 import socket
 import time
+from random import Random
 
 import anyio
 import pytest
 
 from ironhinge import interface as face
-from ironhinge.brain import Router
+from ironhinge.brain import COLD_MARGIN, Req, Router
 from ironhinge.facts import Address, Limits
 from ironhinge.net import clientwire
 from ironhinge.net.links import Driver, Poll, listen
@@ -17,6 +18,7 @@
 from ironhinge.net.service import _leave
 
 from .helpers import (
+    CACHES,
     PATIENCE,
     FakeClient,
     FakeCoordinator,
@@ -24,9 +26,14 @@
     Program,
     ack,
     configuration,
+    deployment,
     endpoint,
     free_port,
+    outcome,
+    req,
     resp,
+    router,
+    row,
     settings,
 )
 from .test_director import TRACE, Scripted, ask, came, play
@@ -327,6 +334,70 @@
     assert len(node.wanted) == 1
 
 
+def test_a_repeat_that_waits_past_the_window_is_never_sent():
+    """Guards 'no effect twice': repeats are dropped for a while, and the connection comes up after that."""
+    late = lambda now: [face.Ask(TRACE, "s-00000001", now + 90000, now + 200)]  # noqa: E731
+    script = Scripted(ReqCame=[late], Outcome=[lambda now: [face.Abort(TRACE)]])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))  # not flushed: the connection is not up before the window ends
+        (link,) = director.nodes["s-00000001"].links
+        link.link.pump = lambda: None
+        await until(lambda: script.got(face.Outcome))
+        assert not link.link.pending
+
+    play(script, scene)
+    (end,) = script.got(face.Outcome)
+    assert end.result == "unsent" and end.took < 10000  # long before its time-out, which would say the same
+
+
+def test_a_repeat_is_to_begin_within_the_window_of_the_first():
+    one = router(deployment(cancels=False))
+    first = one.step(1000, req("a", vhost=2))[0]
+    then = one.step(1100, outcome(first, "reset"))[0]
+    assert (first.begin_by, then.begin_by) == (0, 1000 + one.facts.vhosts[2].window)
+
+
+@pytest.mark.parametrize("count", [3, 9, 20, 30, 200])
+def test_routers_that_all_have_a_req_at_once_push_no_cold_node_over(count):
+    """Room that filled up while nobody asked would go all together, in a hot object's first moment; what
+    grows while the rule counts comes on top."""
+    facts = deployment(routers=count, routers_here=count, weights="nominal", fall=10000)
+    many, seeds = [router(facts, ("c0", "o")) for _ in range(count)], Random(count)
+    start, total = 200000, 0
+    for one in many:
+        one.chance.state = seeds.getrandbits(64)  # each has a seed of its own
+        one.step(start, face.Listed(False, (row("c0", started=start),)))
+        one.in_budget(one_req(one), one.nodes["c0"])
+    for at in range(start + 10000, start + facts.cold, 2500):
+        sent = 0
+        for one in many:
+            node, one.now = one.nodes["c0"], at
+            before = node.room, node.room_at
+            while one.in_budget(one_req(one), node):  # all that it would send in one moment
+                node.room -= one.weight(one_req(one), node)
+                sent += 1
+            node.room, node.room_at = before
+        share = facts.cold_from + (1 - facts.cold_from) * (at - facts.fall - start) / facts.cold
+        most = facts.fall_multiple * share * 20.0 * facts.fall / one.weight(one_req(one), node)
+        assert sent + COLD_MARGIN * most <= most + 2 * most**0.5 + 2
+        total += sent
+    assert total > 2 * (facts.cold - 10000) / 2500  # and the room is there
+
+
+def one_req(one):
+    return Req(req("x", size=500.0), one.vhosts[0], one.now, 1000)
+
+
+def test_a_restarted_router_serves_also_where_all_nodes_are_cold_and_none_has_a_weight():
+    """Nothing has been carried yet, so that nothing tells what a node can do: still no node is starved."""
+    facts = deployment(weights="none", routers=4, routers_here=4, bypass=False)
+    one, start = Router(facts, 7), 10
+    one.step(start, face.Listed(True, tuple(row(n, started=start) for n in (*CACHES, "p0", "o"))))
+    acts = [act for i in range(200) for act in one.step(start + i * 500, req(f"a{i}", obj=i, size=50.0))]
+    assert any(type(act) in (face.Ask, face.Fetch) for act in acts)
+
+
 def test_serve_imports_only_what_is_on():
     """What is off costs no time at the start, and the deploy file's list of parts stays true."""
     code = (
