--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -325,6 +325,7 @@
         if errand.carrier is not None:
             errand.carrier.open.pop(errand.name, None)
             errand.carrier.idle_at = now
+            errand.carrier.settle()
             if answer is not None and ending not in DELIVERED:
                 # guards the req's next dispatch against a second answer to this one: it takes another way
                 errand.carrier.spent[errand.name] = now + SECOND
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -150,6 +150,15 @@
         except OSError:
             return False
 
+    def has_ended(self) -> bool:
+        """True when the peer has ended or reset the connection, and that was not read yet."""
+        try:
+            return self.sock is not None and not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def written(self, frame: Frame) -> bool:
         return frame.end is not None and self.sent >= frame.end
 
@@ -225,7 +234,7 @@
         """Ends our side of the connection once all that was queued is written; what still comes is read and
         dropped until the peer ends its side. Guards what was just written: a close over unread bytes resets
         the connection and takes it along."""
-        if not self.finishing:
+        if not self.finishing and not self.is_over:
             self.finishing = True
             self.driver.finishing += 1
             self.driver.dirty[self] = None
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -205,6 +205,14 @@
         if fault is not None:
             self.director.complain("garbled", f"node {self.node.id}: can't read {fault}")
             link.end(Ending.GARBLED)
+        else:
+            self.settle()
+
+    def settle(self) -> None:
+        """Takes nothing more where something has begun to come that belongs to no dispatch. Guards the next
+        dispatch, whose answer would stand behind what may never end, or be read as a part of it."""
+        if not self.open and self.wire.begun():
+            self.stale = True
 
     def give_up(self, errand: Dispatch) -> bool:
         """Tells the node that nobody waits for a dispatch that it may have; False if that is not on its way.
@@ -266,9 +274,13 @@
         most = director.told.transport.streams
         free = [each for each in self.links if len(each.open) < most and not each.stale]
         free = [each for each in free if name not in each.spent]
-        idle = [each for each in free if not each.open and each.link.is_up]
-        if idle:
-            return max(idle, key=lambda each: each.idle_at)
+        idle = [each for each in free if each.is_idle()]
+        for each in sorted(idle, key=lambda each: each.idle_at, reverse=True):
+            if not each.link.has_ended():
+                return each
+            # guards reqs that must not be sent twice: what is written to a closed connection may have run
+            free.remove(each)
+            each.link.end(Ending.CLOSED)
         if free and len(self.links) >= director.links_each:
             return min(free, key=lambda each: (not each.link.is_up, len(each.open)))
         new = NodeLink(director, self)
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -15,7 +15,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from ..facts import Assignment, Malformed
+from ..facts import Assignment
 from .director import MS, SECOND, Director
 from .links import Driver, Poll, datagrams, listen
 from .parties import Client
@@ -95,7 +95,7 @@
             director.driver.tasks.start_soon(books.follow_files)
         try:
             director.follow_anew(read_again())
-        except (OSError, ValueError, Malformed) as fault:
+        except Exception as fault:  # whatever a file holds, it must not end the program
             logger.error("SIGHUP: {}; the old configuration holds", fault)
 
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import socket
+import threading
 import time
 from random import Random
 
@@ -190,6 +191,82 @@
     assert [end.result for end in script.got(face.Outcome)] == ["error", "done"]
 
 
+@pytest.mark.parametrize("when", ["with the answer", "after it", "and never more"])
+def test_what_follows_an_answer_is_not_read_as_a_part_of_the_next(when):
+    """A node sends more than belongs to its answer, half a line, or begins an answer and never ends it."""
+    more = threading.Event()
+
+    def act(told):
+        if told[0] != "want" or told[1] != TRACE:
+            return ack(told[1], b"other bytes") if told[0] == "want" else None
+        if when == "with the answer":
+            return ack(told[1], b"the bytes") + b"*4\r\n$9"
+        if when == "after it":
+            threading.Thread(target=lambda: more.wait(PATIENCE) and told[3].sendall(b"*4\r\n$9")).start()
+            return ack(told[1], b"the bytes")
+        return b"*4\r\n$16\r\n"
+
+    node, other = FakeNode(act), TRACE[::-1]
+    first = lambda now: [face.Ask(TRACE, "s-00000001", now + 2000)]  # noqa: E731
+    script = Scripted(ReqCame=[first, ask(name=other)], Outcome=[lambda now: []])
+
+    async def scene(director, client, until):
+        director.told = director.told._replace(transport=director.told.transport._replace(dial=10**6))
+        director.take(client, came(1))
+        director.driver.flush()
+        (link,) = director.nodes["s-00000001"].links
+        await until(lambda: script.got(face.Outcome))
+        more.set()
+        if when == "after it":
+            await until(lambda: link.wire.begun() or link.link.is_over)
+        director.take(client, came(2, trace=other))
+        director.driver.flush()
+        await until(lambda: len(script.got(face.Outcome)) == 2)
+
+    play(script, scene, (node, node))
+    assert script.got(face.Outcome)[1].result == "done"
+
+
+def test_a_connection_that_its_node_has_closed_takes_no_dispatch():
+    """Guards reqs that must not run twice: the close has come, and was not read yet."""
+    conns, other = [], TRACE[::-1]
+
+    def act(told):
+        conns.append(told[3])
+        return ack(told[1], b"the bytes")
+
+    node = FakeNode(act)
+    script = Scripted(ReqCame=[ask(), ask(name=other)])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        director.driver.flush()
+        await until(lambda: script.got(face.Outcome))
+        (link,) = director.nodes["s-00000001"].links
+        conns[0].shutdown(socket.SHUT_RDWR)
+        while not link.link.has_ended():
+            time.sleep(0.001)  # the event loop has no turn
+        director.take(client, came(2, trace=other))
+        director.driver.flush()
+        await until(lambda: len(script.got(face.Outcome)) == 2)
+
+    play(script, scene, (node, node))
+    assert [end.result for end in script.got(face.Outcome)] == ["done", "done"]
+
+
+@pytest.mark.parametrize(
+    "text", ["[]", '{"settings": 5}', '{"listen": 5}', '{"known": {"updates": [5]}}', "5"]
+)
+def test_no_file_at_sighup_ends_the_program(short, text):
+    program, _ = short
+    program.config.write_text(text)
+    program.process.send_signal(signal.SIGHUP)
+    until = time.monotonic() + PATIENCE
+    while "the old configuration holds" not in program.text() and time.monotonic() < until:
+        time.sleep(0.01)
+    assert FakeClient(program.port).is_ready() and "the old configuration holds" in program.text()
+
+
 @pytest.mark.parametrize("named", ["digest=aaaa", "res=h"])
 def test_a_clients_copy_is_current_only_if_the_node_names_it(named):
     node = FakeNode(lambda told: resp(told[1], "NOMOD", f"dated={int(time.time() * 1000)},{named}", b""))
