--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -41,6 +41,8 @@
 AT_PEACE = SECOND  # one on which something was asked not before that, while there is any room at all; nor is
 # one to a node
 GROUPS = 256  # of objects, says the protocol
+PASSED_ON = {"part": "seg", "nonce": "token"}  # a client's field, where it has one, and the command's; the
+# nonce is the mark by which nodes know a repeat
 DELIVERED = Ending.SERVED, Ending.SAME  # nothing follows these
 LINGER = SECOND  # what a client has left unread is given up after that
 
@@ -418,8 +420,9 @@
         if req.closed or until <= now:
             return self.end(out, Ending.UNWRITTEN)
         fields = {"kind": req.fields["route"], "obj": req.fields["entity"]}
-        if "part" in req.fields:
-            fields["seg"] = req.fields["part"]
+        for told, passed in PASSED_ON.items():
+            if told in req.fields:
+                fields[passed] = req.fields[told]
         fields["ms"] = str(-(-(until - now) // MS))
         fields.update(how)
         if req.fields.get("have"):
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -194,7 +194,8 @@
             errand = self.open.get(answer.id)
             if errand is None:
                 continue  # given up, and answered all the same
-            if answer.ending is Ending.SERVED and not (answer.dated and answer.tagged):
+            copy = isinstance(errand, Dispatch) and not errand.req.came.write  # a write leaves none
+            if copy and answer.ending is Ending.SERVED and not (answer.dated and answer.tagged):
                 fault = nodewire.Unparsable("bytes without their tag or date")
                 break
             probe = answer.ending in (Ending.READY, Ending.AILING)
