Cold nodes are weighed without a target; one gone from the backlog takes no others along

Read: in_budget divides by a req's weight, which is 0 where a vhost has no first-byte target and nothing was seen yet; each req to a cold node would have been aborted by that fault. Driver.take_the_last stopped at the first connection of the backlog that had gone already, and the close reset those behind it. Both tests fail without the mends.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -635,7 +635,7 @@
             least, length, multiple = facts.parent_cold_from, facts.parent_cold, facts.parent_fall_multiple
         age = max(0, self.now - facts.fall - max(node.row.started, node.lost_at))
         share = least + (1 - least) * age / max(1, length)
-        routers, weight = facts.routers if parent else facts.routers_here, self.weight(req, node)
+        routers, weight = facts.routers if parent else facts.routers_here, max(1, self.weight(req, node))
         told = facts.weights in ("nominal", "rough")
         capacity = node.row.weight / routers if told else self.carried_by_kind(node.row.kind)
         allowed = multiple * share * capacity  # ours
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -452,11 +452,13 @@
     def take_the_last(self, listener: socket.socket, receiver: Callable[[], Receiver]) -> None:
         """Takes all that waits in the backlog, and closes the listener in the same moment. Guards those whom
         the machine has accepted: a closed backlog resets them, a later peer is refused and goes elsewhere."""
-        try:
-            while self.open < self.most:
+        while self.open < self.most:
+            try:
                 self.take(listener.accept()[0], receiver())
-        except OSError:
-            pass  # that was all
+            except ConnectionError:
+                continue  # that one has gone already
+            except OSError:
+                break  # that was all
         anyio.notify_closing(listener)
         listener.close()
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -13,7 +13,7 @@
 from ironhinge import interface as face
 from ironhinge.brain import COLD_MARGIN, Req, Router
 from ironhinge.facts import Address, Limits
-from ironhinge.net import clientwire
+from ironhinge.net import clientwire, links
 from ironhinge.net.links import Driver, Poll, listen
 from ironhinge.net.parties import Client
 from ironhinge.net.service import _leave
@@ -462,6 +462,40 @@
     assert total > 2 * (facts.cold - 10000) / 2500  # and the room is there
 
 
+def test_a_cold_node_is_weighed_where_no_target_and_no_size_is_told():
+    vhosts = tuple(vhost._replace(target=0) for vhost in deployment().vhosts)
+    one = router(deployment(vhosts=vhosts), ("c0", "o"))
+    one.step(1000, face.Listed(False, (row("c0", started=1000),)))
+    assert one.step(2000, req("a", size=0.0))
+
+
+def test_one_that_has_gone_from_the_backlog_takes_no_others_along(monkeypatch):
+    monkeypatch.setattr(links.anyio, "notify_closing", lambda sock: None)
+
+    class Backlog:
+        found = [ConnectionAbortedError(), socket.socket(), BlockingIOError()]
+
+        def accept(self):
+            one = self.found.pop(0)
+            if isinstance(one, Exception):
+                raise one
+            return one, None
+
+        def fileno(self):
+            return -1
+
+        def close(self): ...
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            driver, heard = Driver(tasks, Limits(0, 0), Poll()), Heard()
+            driver.take_the_last(Backlog(), lambda: heard)
+            assert heard.link is not None
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def one_req(one):
     return Req(req("x", size=500.0), one.vhosts[0], one.now, 1000)
 
