--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -490,6 +490,12 @@
         self.sock.sendall(struct.pack(">IBI", 5 + len(payload), kind, stream) + payload)
 
     def ask(self, body=b"", **fields):
+        data = self.request(body, **fields)
+        self.sock.sendall(data)
+        return self.stream
+
+    def request(self, body=b"", **fields):
+        """The bytes of a request on the next stream, not sent."""
         self.stream += 1
         values = {
             "route": "film",
@@ -505,8 +511,8 @@
         text = b"".join(
             bytes([len(key)]) + key + len(value).to_bytes(2, "big") + value for key, value in packed
         )
-        self.send(7, self.stream, bytes([len(packed)]) + text + body)
-        return self.stream
+        payload = bytes([len(packed)]) + text + body
+        return struct.pack(">IBI", 5 + len(payload), 7, self.stream) + payload
 
     def frame(self):
         """The next frame: type, stream, payload."""
