--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -97,31 +97,29 @@
         sys.exit(2)
 
 
-def open_runner(operations: Any) -> Any:
+def open_runner(operations: Any, clock: Any) -> Any:
     """What runs background work, where the operations bring any."""
     if operations is None or operations.traffic is None and operations.disk is None:
         return None
     from .jobs.plan import Budgets
     from .jobs.runner import Runner
-    from .net.director import Clock
 
     budgets = Budgets(float(operations.disk.background)) if operations.disk is not None else Budgets()
-    return Runner(budgets, Clock.now)
+    return Runner(budgets, clock.now)
 
 
-def open_books(told: Assignment, operations: Any, runner: Any) -> Any:
+def open_books(told: Assignment, operations: Any, runner: Any, clock: Any) -> Any:
     """What keeps the account, where the operations turn it on."""
     if operations is None or operations.traffic is None:
         return None
-    from .net.director import Clock
     from .traffic.keeper import Keeper, Origin
 
     me = told.peers.index(told.peer_listen) if told.peer_listen in told.peers else 0
     who = Origin(told.name, told.names.zones, told.names.vhosts, me)
-    return Keeper(operations.traffic, told.deployment, who, Clock.now, Clock.unix_ms, runner)
+    return Keeper(operations.traffic, told.deployment, who, clock.now, clock.unix_ms, runner)
 
 
-def open_shelf(told: Assignment, operations: Any, runner: Any) -> Any:
+def open_shelf(told: Assignment, operations: Any, runner: Any, clock: Any) -> Any:
     """The tier of copies on disk, where the operations turn it on; a folder that can't be had ends the
     program."""
     if operations is None or operations.disk is None:
@@ -129,10 +127,9 @@
     from .disk.files import Locked
     from .disk.store import Foreign
     from .disk.tier import Tier
-    from .net.director import Clock
 
     try:
-        return Tier(operations.disk, told.deployment, told.name, Clock.now, Clock.unix_ms, runner)
+        return Tier(operations.disk, told.deployment, told.name, clock.now, clock.unix_ms, runner)
     except (OSError, Locked, Foreign) as fault:
         click.echo(f"ironhinge: {operations.disk.folder}: {fault}", err=True)
         sys.exit(1)
@@ -148,6 +145,7 @@
     """Serve clients until SIGTERM, then answer what was taken and end with code 0. At SIGHUP the
     configuration and the operations files are read again: the coordinator is followed to its new address, and
     new settings take effect whole, or not at all where something is wrong with them."""
+    from .net.clock import Clock
     from .net.service import hold_signals, run
 
     hold_signals()
@@ -156,12 +154,13 @@
     logger.add(sys.stderr, level=log_level.upper(), format=LINE, diagnose=False, backtrace=False)
     told = read_or_end(config, name, listen)
     wanted = operations_or_end(config, operations)
-    runner = open_runner(wanted)
-    books, shelf = open_books(told, wanted, runner), open_shelf(told, wanted, runner)
+    clock = Clock()
+    runner = open_runner(wanted, clock)
+    books, shelf = open_books(told, wanted, runner, clock), open_shelf(told, wanted, runner, clock)
     if books is not None:
         books.reread = lambda: read_operations(config, operations)
     try:
-        run(told, lambda: read(config, name, listen), books, shelf, runner)
+        run(told, lambda: read(config, name, listen), books, shelf, runner, clock)
     except* OSError as faults:  # the address is taken or not ours
         click.echo(f"ironhinge: {told.listen.host}:{told.listen.port}: {faults.exceptions[0]}", err=True)
         sys.exit(1)
--- a/ironhinge/lab/injection/sitecustomize.py
+++ b/ironhinge/lab/injection/sitecustomize.py
@@ -96,6 +96,8 @@
             try:
                 self._fail("connect")
             except OSError as error:
+                if error.errno == errno.EINTR:  # an interrupted connect goes on by itself, says connect(2)
+                    super().connect_ex(address)
                 return error.errno
             return super().connect_ex(address)
 
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -9,7 +9,6 @@
 
 import resource
 import socket
-import time
 from collections import Counter, deque
 from heapq import heappop, heappush
 from typing import Any, Callable, Deque, Dict, List, Optional, Protocol, Set, Tuple, Union
@@ -20,14 +19,17 @@
 
 from .. import interface as face
 from ..brain import Router
-from ..facts import Address, Assignment, ListNews, PurgeNews, load_report
+from ..facts import Assignment, ListNews, PurgeNews, load_report
 from . import clientwire, nodewire
+from .client_connection import HURRIED_STALLED, UNASKED_NOTICE, Client, CloseCause
+from .clock import MILLISECOND as MS
+from .clock import SECOND, Clock
+from .driver import Driver
 from .ending import RESULTS, Ending
-from .links import Driver
-from .parties import Client, Dispatch, Errand, FeedLink, Node
+from .event_log import EventKind, EventLog
+from .parties import Dispatch, Errand, FeedLink, Node
+from .system_calls import Backoff, Call, Remedy
 
-MS = 10  # tenths of a millisecond
-SECOND = 1000 * MS
 PULSE = 50 * MS  # how often lateness is measured
 SWEEP = 2  # pulses between two looks for connections to let go
 REPORT = 1200  # pulses between two lines of counters
@@ -44,34 +46,10 @@
 PASSED_ON = {"part": "seg", "nonce": "token"}  # a client's field, where it has one, and the command's; the
 # nonce is the mark by which nodes know a repeat
 DELIVERED = Ending.SERVED, Ending.SAME  # nothing follows these
+DATAGRAM = 512  # bytes read of one; the protocol has 256 at most
 LINGER = SECOND  # what a client has left unread is given up after that
 
 
-class Clock:
-    """The module's time is monotonic; the system's Unix time is turned into it here and nowhere else."""
-
-    @staticmethod
-    def now() -> int:
-        return time.monotonic_ns() // 100_000
-
-    @staticmethod
-    def seconds(span: int) -> float:
-        return span / SECOND
-
-    @staticmethod
-    def unix_ms() -> int:
-        return time.time_ns() // 1_000_000
-
-    @staticmethod
-    def unix_age(unix_ms: int) -> int:
-        """Time since a Unix millisecond, rounded down; below 0 for one to come."""
-        return time.time_ns() // 100_000 - unix_ms * MS
-
-    def from_unix(self, unix_ms: int) -> int:
-        """An instant on the module's clock, rounded up."""
-        return self.now() - self.unix_age(unix_ms) + 1
-
-
 class Books(face.Purse, Protocol):
     """What keeps the account of crossings, as the director sees it."""
 
@@ -139,8 +117,11 @@
         driver: Driver,
         books: Optional[Books] = None,
         shelf: Optional[Copies] = None,
+        clock: Optional[Clock] = None,
     ):
-        self.told, self.driver, self.clock = told, driver, Clock()
+        self.told, self.driver, self.clock = told, driver, clock or Clock()
+        self.events = EventLog(self.clock.now)
+        driver.on_failed_call = self.call_failed
         self.books = books  # the account of crossings, where operators turned it on
         self.shelf = shelf  # copies of our own, where operators turned them on
         self.router = Router(told.deployment, told.seed)
@@ -158,6 +139,7 @@
         self.leave_at: Optional[int] = None  # by then all is answered
         self.no_more_at: Optional[int] = None  # reqs read after that are not taken
         self.feed: Optional[FeedLink] = None
+        self.caught_up_at = self.clock.now()  # all that the coordinator had to tell by then is known
         self.lag = 0  # the most that it was late, fading
         self.timers: List[Tuple[int, int, Union[str, Errand]]] = []
         self.set_timers = 0
@@ -207,6 +189,7 @@
                 except Exception:
                     logger.exception("the module failed on {}", type(what).__name__)
                     self.counts["faults"] += 1
+                    self.events.dump_for_fault("the decision module failed")
                     self._finish(getattr(what, "id", ""), clientwire.ABORTED, {})
         finally:
             self.stepping = False
@@ -218,6 +201,7 @@
         now = self.clock.now()
         if self.no_more_at is not None and now > self.no_more_at:
             # guards reqs that come when hardly any time is left: they are answered at once, and sent nowhere
+            self.events.record(EventKind.REQUEST_REFUSED, f"client {client.number}", "shutdown")
             client.link.write(clientwire.answer(message.stream, clientwire.DENIED, {}))
             return
         try:
@@ -272,6 +256,7 @@
             return
         req.closed = req.gone = True
         self.counts["left"] += 1
+        self.events.record(EventKind.REQUEST_LEFT, req.id, "client")
         self.happen(face.Left(req.id))
         if req.out is not None and req.out.taken_back():
             # guards nodes against work for nobody, also where the settings allow no giving up of what has
@@ -293,6 +278,9 @@
         req.closed = True
         end = clientwire.CODES[code]
         self.counts[end] += 1
+        if code != clientwire.DONE:
+            kind = EventKind.REQUEST_REFUSED if code == clientwire.DENIED else EventKind.REQUEST_FAILED
+            self.events.record(kind, name, f"after {req.dispatches} attempts")
         logger.debug("req {} {} after {} dispatches", name, end, req.dispatches)
         req.client.answer(req, code, fields, body)
         self._forget(req)
@@ -309,20 +297,43 @@
             self.complained.add(kind)
             logger.warning("{} (more of it: see '{}' in the counters)", text, kind)
 
+    def call_failed(self, call: Call, error: str, remedy: Remedy) -> None:
+        """A system call failed otherwise than calls do on a calm day."""
+        self.events.record(EventKind.CALL_FAILED, call.name, error, remedy.name)
+        self.complain(
+            f"{call.name} {error}", f"system call {call.name} failed with {error}: {remedy.name.lower()}"
+        )
+        if remedy is Remedy.BUG:
+            self.events.dump_for_fault(f"{call.name} failed with {error}")
+
     # Dispatches
 
-    def _send(self, errand: Errand, command: bytes, until: int) -> None:
+    def _send(self, errand: Errand, until: int, render: Callable[[], Tuple[bytes, ...]]) -> None:
         errand.until = until
         errand.carrier = errand.node.link_for(errand.name, self)
         errand.carrier.open[errand.name] = errand
-        errand.frame = errand.carrier.link.write((command,))
+        errand.frame = errand.carrier.link.write((), render=render)
         self._at(until, errand)
 
+    def _command(self, out: Dispatch, fields: Dict[str, str]) -> Tuple[bytes, ...]:
+        """An attempt's command, made when it begins to be written: it may have waited for its connection, and
+        its client may have left meanwhile, unread."""
+        out.req.client.link.read_now()
+        now = self.clock.now()
+        if not out.over and (out.req.closed or now >= out.until):
+            self.end(out, Ending.UNWRITTEN if out.taken_back() else Ending.TIMED_OUT)
+        if out.over:
+            return ()
+        fields["ms"] = str(-(-(out.until - now) // MS))
+        return (nodewire.want(out.name, fields, out.req.body),)
+
     def end(self, errand: Errand, ending: Ending, answer: Optional[nodewire.Answer] = None) -> None:
         """The one end of a dispatch or a probe."""
         if errand.over:
             return
         errand.over = True
+        if errand.frame is not None:
+            errand.frame.render = None  # knows the errand: nothing here may wait for a collection
         now = self.clock.now()
         if errand.carrier is not None:
             errand.carrier.open.pop(errand.name, None)
@@ -347,6 +358,8 @@
                 Ending.ERRED
             )  # older than what was asked for: guards purges against a node that forgets them
         self.counts[ending.name] += 1
+        if ending not in DELIVERED:
+            self.events.record(EventKind.ATTEMPT_ENDED, req.id, ending.name, node)
         req.out = None
         if ending is Ending.SERVED and answer is not None:
             self._finish(req.id, clientwire.DONE, {}, answer.body)
@@ -423,11 +436,11 @@
         for told, passed in PASSED_ON.items():
             if told in req.fields:
                 fields[passed] = req.fields[told]
-        fields["ms"] = str(-(-(until - now) // MS))
+        fields["ms"] = ""  # has its place; told when the command is written
         fields.update(how)
         if req.fields.get("have"):
             fields["got"] = req.fields["have"]
-        self._send(out, nodewire.want(name, fields, req.body), until)
+        self._send(out, until, lambda: self._command(out, fields))
         if act.begin_by:
             out.begin_by = act.begin_by
             self._at(act.begin_by, out)
@@ -480,15 +493,13 @@
     def _probe(self, act: face.Probe) -> None:
         self.probes += 1
         probe = Errand(f"probe-{self.probes}", self.nodes[act.node], self.clock.now())
-        self._send(probe, nodewire.busy(probe.name), probe.sent_at + self.told.transport.dial)
+        command = (nodewire.busy(probe.name),)
+        self._send(probe, probe.sent_at + self.told.transport.dial, lambda: command)
 
     def _say(self, act: face.Say) -> None:
         to = self.told.peers_all if act.peer is None else self.told.peers[act.peer]
         if self.peers is not None and to is not None:
-            try:
-                self.peers.sendto(act.data, to)
-            except OSError:
-                pass  # datagrams may be lost
+            self.driver.caller.send_datagram(self.peers, act.data, to)
 
     def tell_peers(self, data: bytes) -> None:
         """To all of the tier at once, or to each where there is no address for all; nothing where the
@@ -515,7 +526,8 @@
             self.number = news.number
             if self.shelf is not None:
                 self.shelf.purge(news.obj, news.group, news.unix_ms)
-            self.happen(face.Purged(news.obj, news.group, max(0, self.clock.unix_age(news.unix_ms))))
+            age = self.clock.age_of_event(news.unix_ms, self.caught_up_at)
+            self.happen(face.Purged(news.obj, news.group, age))
             if news.obj is None:
                 self._take_back(lambda out: out.req.came.group == news.group)
             else:
@@ -540,7 +552,8 @@
                 logger.info("node {} is {}", row.id, row.state)
             node.address, node.state = address, row.state
             if started_unix > node.started_unix:  # once: told again it must not look like another restart
-                node.started_unix, node.started = started_unix, self.clock.from_unix(started_unix)
+                node.started_unix = started_unix
+                node.started = self.clock.start_of(started_unix, self.caught_up_at)
             rows.append(row._replace(started=node.started if started_unix else 0))
         here = {row.id for row in rows}
         for node in self.nodes.values():
@@ -601,12 +614,14 @@
             await anyio.sleep(self.clock.seconds(PULSE))
             self.lag = max(self.clock.now() - due, self.lag * LAG_FADES // 100)
             pulses += 1
-            if pulses % SWEEP == 0:
+            self.clock.look()
+            if pulses % SWEEP == 0 or self.driver.is_crowded():
                 self.sweep()
                 self.driver.flush()
             if pulses % REPORT == 0:
                 logger.info("{}", self.report())
                 self.complained.clear()
+                self.events.allow_again()
 
     def margin(self) -> int:
         """Guards against reqs lost while the program is short of CPU: what a req that was just read may have
@@ -629,15 +644,24 @@
 
     def make_room(self, pressing: bool) -> bool:
         """Guards the descriptors against clients that hold connections and ask nothing: the one that has
-        waited longest goes. The protocol allows closing where no req is open; but whoever will ask again
-        comes back at once, so that ending more than one for each that comes makes a crowd of its own."""
+        waited longest goes, and of those that never asked first. The protocol allows closing where no request
+        is open; but whoever will ask again comes back at once, so that ending more than one for each that
+        comes makes a crowd of its own."""
+        ending = sum(client.cause is CloseCause.ROOM for client in self.clients)
+        if ending >= self.driver.ending_at_once():
+            return False
         now = self.clock.now()
-        for client in self.clients:
-            if client.since > now - SETTLED:
-                break
-            if (pressing or not client.asked or client.since < now - AT_PEACE) and client.is_idle():
-                client.part()
+        settled = [client for client in self.clients if client.since <= now - SETTLED]
+        for asked in (False, True):
+            for client in settled:
+                if client.asked is not asked or not client.is_idle():
+                    continue
+                if asked and not pressing and client.since > now - AT_PEACE:
+                    break
+                client.make_room(pressing)
                 return True
+        if pressing and not ending:
+            return any(client.end_stalled(now, HURRIED_STALLED) for client in list(self.clients))
         return False
 
     def give_way(self) -> None:
@@ -695,21 +719,22 @@
             self.feed.link.end(Ending.CLOSED)
 
     async def hear_peers(self) -> None:
+        """Hands on the datagrams of other directors."""
+        caller, backoff = self.driver.caller, Backoff()
         while self.peers is not None:
-            try:
-                data, sender = self.peers.recvfrom(512)
-            except BlockingIOError:
-                await anyio.wait_readable(self.peers)
-                continue
-            except OSError:
-                await lowlevel.checkpoint()
+            data, sender, remedy = caller.receive_datagram(self.peers, DATAGRAM)
+            if sender is None:
+                if remedy is Remedy.WAIT:
+                    await caller.readable(self.peers)
+                else:
+                    await anyio.sleep(backoff.next())
                 continue
-            if Address(*sender) in self.told.peers:
-                if self.books is not None and self.books.heard(
-                    self.clock.now(), self.told.peers.index(Address(*sender)), data
-                ):
+            backoff.reset()
+            if sender in self.told.peers:
+                place = self.told.peers.index(sender)
+                if self.books is not None and self.books.heard(self.clock.now(), place, data):
                     continue
-                self.happen(face.PeerSaid(self.told.peers.index(Address(*sender)), data))
+                self.happen(face.PeerSaid(place, data))
                 self.driver.flush()
 
     # The end
@@ -721,16 +746,22 @@
         for req in list(self.reqs.values()):
             if req.out is not None:
                 self._at(self.leave_at, req.out)
-        for client in self.clients:
-            client.link.write(clientwire.no_more())
+        for client in list(self.clients):
+            client.announce(CloseCause.SHUTDOWN, None)
         self.driver.flush()
 
-    def part_idle(self) -> bool:
-        """Parts with clients that have all their answers; True once nobody is left."""
-        if self.no_more_at is None:
-            self.no_more_at = self.clock.now()
+    def take_no_more(self) -> None:
+        """From now on requests are answered as refused, at once, and sent nowhere."""
+        self.no_more_at = self.clock.now()
+
+    def end_silent_clients(self) -> None:
+        """Begins to end the connections of clients that never asked anything."""
+        for client in list(self.clients):
+            if not client.asked:
+                client.announce(CloseCause.SHUTDOWN, UNASKED_NOTICE)
+
+    def end_all_clients(self) -> None:
+        """Ends our side of every connection, after what is queued on it."""
         for client in list(self.clients):
-            if client.is_idle() and not client.wire.held:
-                client.part()
+            client.half_close()
         self.driver.flush()
-        return not self.clients
--- a/ironhinge/net/ending.py
+++ b/ironhinge/net/ending.py
@@ -28,6 +28,7 @@
     RESET = auto()  # the connection was reset after the command was written: it may have run
     CLOSED = auto()  # the connection was closed after the command was written: it may have run
     GARBLED = auto()  # what the node sent can't be read: it may have run
+    OVERLOADED = auto()  # ended here, as what was queued on it took too much memory: it may have run
     TIMED_OUT = auto()  # no answer by the time that the module set: it may still be running
     CALLED_OFF = auto()  # the module gave it up: it may have run
 
@@ -50,6 +51,7 @@
     Ending.RESET: "reset",
     Ending.CLOSED: "reset",
     Ending.GARBLED: "error",
+    Ending.OVERLOADED: "cancelled",
     Ending.TIMED_OUT: "timeout",
     Ending.CALLED_OFF: "cancelled",
 }
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -1,4 +1,4 @@
-"""Owns the sockets: it accepts, connects, reads into rings and writes out of them, on anyio.
+"""Owns each connection: it reads into rings and writes out of them, on anyio.
 
 It must never read what the bytes mean, know a req, or choose anything. What arrives goes to the receiver of
 the link, and so does the link's one end; no error of a connection leaves its own task.
@@ -6,69 +6,54 @@
 
 from __future__ import annotations
 
-import errno
-import resource
-import selectors
 import socket
 from collections import deque
-from math import inf
 from time import monotonic
-from typing import Any, Awaitable, Callable, Deque, Dict, List, Optional, Protocol, Sequence
+from typing import TYPE_CHECKING, Awaitable, Callable, Deque, Optional, Protocol, Sequence
 
 import anyio
 from anyio import lowlevel
-from anyio.abc import TaskGroup
 from loguru import logger
 
-from ..facts import Address, Limits
 from .ending import Ending
 from .ring import Ring
+from .system_calls import Backoff, Remedy
+
+if TYPE_CHECKING:
+    from .driver import Driver
 
-SMALL, LARGE = 8 * 1024, 32 * 1024  # ring sizes: what carries commands and reqs, and what carries bodies
 READS = 8  # reads of one connection before the others have their turn
-BACKLOG = 1024
-SPARE = 24  # descriptors kept for the listener, the log, the datagrams and the event loop
-ACCEPTING = 0.85  # part of the descriptors in use from which accepting pauses; the rest is for nodes. Usual
-# clients hold a third at most, says the protocol
-ROOM_FROM = 0.9  # part of that from which idle connections are ended for new ones
-PARTING = 0.05  # part of the descriptors that connections may hold which end without counting as in use
-QUEUED = 0.25  # part of the memory that what is queued for slow readers may take
-TURNS = 3  # of the event loop until a connection that was ended has closed its socket
 FINISHING = 0.01  # seconds between reads of what nobody will look at
-PAUSE = 0.02  # seconds until accepting is tried again without descriptors
-
 
 NO_RING = Ring(0)
-
-
-class Poll(selectors.DefaultSelector):
-    """The event loop's look at its sockets. What a task reads was found one look before the latest, since the
-    loop wakes tasks a turn later, and was not there yet at the look before that; so it has waited since then
-    at most, however long the program was kept from running."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.since = self.found_at = self.looked_at = monotonic()
-
-    def select(self, timeout: Optional[float] = None) -> List[Any]:
-        found = super().select(timeout)
-        self.since, self.found_at, self.looked_at = self.found_at, self.looked_at, monotonic()
-        return found
+Pieces = Sequence[bytes]
 
 
 class Frame:
-    """Something to be written, in pieces."""
+    """Something to be written, in pieces. One with `render` is made at the moment in which it begins to be
+    written, and may be taken back by that call."""
 
-    __slots__ = ("whole", "pieces", "size", "start", "end", "mark", "until")
+    __slots__ = ("whole", "pieces", "size", "start", "end", "mark", "until", "render")
 
-    def __init__(self, pieces: Sequence[bytes], mark: int, until: Optional[float]):
-        self.whole = [memoryview(piece) for piece in pieces if piece]
-        self.pieces = deque(self.whole)  # what is not in the ring yet
-        self.size = sum(map(len, self.pieces))
+    def __init__(
+        self,
+        pieces: Pieces,
+        mark: int = 0,
+        until: Optional[float] = None,
+        render: Optional[Callable[[], Pieces]] = None,
+    ):
         self.start: Optional[int] = None  # where it begins in all that the link has put into its ring
         self.end: Optional[int] = None  # where it ends there, once it is whole in it
         self.mark = mark  # what its writer knows it by
         self.until = until  # nobody wants it after that
+        self.render = render
+        self.fill(pieces)
+
+    def fill(self, pieces: Pieces) -> None:
+        """Sets what is to be written; nothing of it may have been."""
+        self.whole = [memoryview(piece) for piece in pieces if piece]
+        self.pieces = deque(self.whole)  # what is not in the ring yet
+        self.size = sum(map(len, self.pieces))
 
 
 class Receiver(Protocol):
@@ -106,21 +91,32 @@
         self.queued = 0  # bytes of pending frames
         self.put, self.sent = 0, 0  # bytes that went into the ring, and on to the system
         self.is_up = self.is_over = self.finishing = False
+        self.is_shut = False  # our side has ended
+        self.sends_at_once = False  # TCP_NODELAY is on
+        self.receiving = False  # its receiver has the bytes just now
+        self.dropped = 0  # bytes that came after our side had ended
         self.heard_at = 0.0
         self.users = 0  # tasks that wait on the socket
         self.scope = anyio.CancelScope()
         self.writing: Optional[anyio.CancelScope] = None  # while the system takes no more
+        self.backoff: Optional[Backoff] = None  # between calls that fail for want of a resource
 
-    def write(self, pieces: Sequence[bytes], mark: int = 0, until: Optional[float] = None) -> Frame:
+    def write(
+        self,
+        pieces: Pieces,
+        mark: int = 0,
+        until: Optional[float] = None,
+        render: Optional[Callable[[], Pieces]] = None,
+    ) -> Frame:
         """Queues a frame; it goes out with all others when the driver flushes."""
-        frame = Frame(pieces, mark, until)
+        frame = Frame(pieces, mark, until, render)
         if not self.is_over:
             self.pending.append(frame)
             self._queue(frame.size)
             self.driver.dirty[self] = None
         return frame
 
-    def write_now(self, pieces: Sequence[bytes]) -> bool:
+    def write_now(self, pieces: Pieces) -> bool:
         """Writes before anything else that is queued on other links; False if the system does not take it."""
         self.write(pieces)
         self.pump()
@@ -144,20 +140,18 @@
             self.drop(frame)
 
     def has_unread(self) -> bool:
-        """True when bytes have come that were not read yet."""
-        try:
-            return self.sock is not None and bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
+        """True when bytes have come that were not read yet, or when that can't be told now."""
+        if self.sock is None:
             return False
+        found, remedy = self.driver.caller.peek(self.sock)
+        return found or remedy not in (Remedy.DONE, Remedy.WAIT, Remedy.GONE)
 
     def has_ended(self) -> bool:
         """True when the peer has ended or reset the connection, and that was not read yet."""
-        try:
-            return self.sock is not None and not self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
+        if self.sock is None:
             return False
-        except OSError:
-            return True
+        found, remedy = self.driver.caller.peek(self.sock)
+        return remedy is Remedy.GONE or remedy is Remedy.DONE and not found
 
     def written(self, frame: Frame) -> bool:
         return frame.end is not None and self.sent >= frame.end
@@ -166,30 +160,43 @@
         """Writes what the system takes now; the rest waits for it in a task of its own."""
         if self.sock is None or not self.is_up or self.is_over or self.writing is not None:
             return
-        try:
-            while True:
-                self._fill()
-                data = self.outward.data()
-                if not data:
-                    break
-                count = self.sock.send(data)
-                self.outward.taken(count)
-                self.sent += count
-                while self.in_ring and self.written(self.in_ring[0]):
-                    self.in_ring.popleft()
-            if self.finishing:
-                self.sock.shutdown(socket.SHUT_WR)
-        except BlockingIOError:
+        caller = self.driver.caller
+        if not self.sends_at_once:
+            self.sends_at_once = caller.send_without_delay(self.sock)
+        remedy = self._send_all()
+        if remedy is Remedy.DONE and self.finishing and not self.is_shut:
+            remedy = caller.shut_down(self.sock, socket.SHUT_WR)
+            self.is_shut = remedy is Remedy.DONE
+        if remedy in (Remedy.WAIT, Remedy.PAUSE):
             self._unfill()
             self.writing = anyio.CancelScope()
-            self.driver.tasks.start_soon(self._wait_to_write)
-        except OSError:
+            self.driver.tasks.start_soon(self._wait_to_write, remedy)
+        elif remedy is not Remedy.DONE:
             self.end(Ending.RESET)
 
+    def _send_all(self) -> Remedy:
+        """DONE once all is written, else why the system takes no more."""
+        while self.sock is not None and not self.is_over:
+            self._fill()
+            data = self.outward.data()
+            if not data:
+                break
+            count, remedy = self.driver.caller.send(self.sock, data)
+            if remedy is not Remedy.DONE:
+                return remedy
+            self.backoff = None
+            self.outward.taken(count)
+            self.sent += count
+            while self.in_ring and self.written(self.in_ring[0]):
+                self.in_ring.popleft()
+        return Remedy.DONE
+
     def _fill(self) -> None:
         while self.pending and self.outward.held < self.outward.size:
             frame = self.pending[0]
             if frame.start is None:
+                if frame.render is not None and not self._rendered(frame):
+                    continue
                 frame.start = self.put
                 self.in_ring.append(frame)
             while frame.pieces:
@@ -204,6 +211,18 @@
             self.pending.popleft()
             self._queue(-frame.size)
 
+    def _rendered(self, frame: Frame) -> bool:
+        """Makes a frame that is about to begin; False if it was taken back meanwhile, and the link with
+        it."""
+        assert frame.render is not None
+        pieces = frame.render()
+        if self.is_over or not self.pending or self.pending[0] is not frame:
+            return False
+        self._queue(-frame.size)
+        frame.fill(pieces)
+        self._queue(frame.size)
+        return True
+
     def _unfill(self) -> None:
         """Frames of which the system took nothing wait outside the ring again. Guards what may still be taken
         back while a peer reads nothing: a drain, a purge or a client that left must find it unbegun."""
@@ -220,16 +239,25 @@
             frame.start = frame.end = None
             frame.pieces = deque(frame.whole)
 
-    async def _wait_to_write(self) -> None:
+    async def _wait_to_write(self, remedy: Remedy) -> None:
         async def work() -> None:
-            if self.sock is not None and not self.is_over:
-                await anyio.wait_writable(self.sock)
+            if self.sock is None or self.is_over:
+                return
+            if remedy is Remedy.PAUSE:
+                await anyio.sleep(self._pause())
+            else:
+                await self.driver.caller.writable(self.sock)
 
         await self.guarded(work, self.writing or self.scope)
         self.writing = None
         self.pump()
         self.driver.flush()
 
+    def _pause(self) -> float:
+        if self.backoff is None:
+            self.backoff = Backoff()
+        return self.backoff.next()
+
     def finish(self) -> None:
         """Ends our side of the connection once all that was queued is written; what still comes is read and
         dropped until the peer ends its side. Guards what was just written: a close over unread bytes resets
@@ -249,10 +277,7 @@
         if self.writing is not None:
             self.writing.cancel()
         if self.sock is not None:
-            try:
-                self.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # it is over already
+            self.driver.caller.shut_down(self.sock, socket.SHUT_RDWR)  # or it is over already
         self._release()
         self.driver.dirty.pop(self, None)
         self.driver.links.pop(self, None)
@@ -272,35 +297,60 @@
 
     async def read(self) -> None:
         """Reads until the connection ends."""
-        ring, reads = self.inward, 0
+        caller, reads = self.driver.caller, 0
         while self.sock is not None and not self.is_over:
             if self.finishing and reads:  # guards the CPU against senders without end
                 await anyio.sleep(FINISHING)
-            room = ring.room()
-            try:
-                count = self.sock.recv_into(room)
-            except BlockingIOError:
-                await anyio.wait_readable(self.sock)
+            size = len(self.inward.room())
+            count, remedy = self._read_once()
+            if self.is_over:
+                return
+            if remedy is Remedy.WAIT:
+                await caller.readable(self.sock)
+                continue
+            if remedy is Remedy.PAUSE:
+                await anyio.sleep(self._pause())
                 continue
-            except OSError:
-                return self.end(Ending.RESET)
-            if not count:
-                return self.end(Ending.CLOSED)
             reads += 1
             if self.finishing:
                 continue
-            self.heard_at = monotonic()
-            ring.filled(count)
-            self.receiver.receive(self, ring.data())
-            ring.taken(count)
             self.driver.flush()
             if self.is_over:
                 return
-            if count < len(room):  # that was all for now
-                await anyio.wait_readable(self.sock)
+            if count < size:  # that was all for now
+                await caller.readable(self.sock)
             elif reads % READS == 0:
                 await lowlevel.checkpoint()
 
+    def read_now(self) -> None:
+        """Reads what has come, outside the turn of the reading task: for who has to know now."""
+        if self.sock is not None and self.is_up and not (self.is_over or self.finishing or self.receiving):
+            self._read_once()
+
+    def _read_once(self) -> tuple[int, Remedy]:
+        """Hands on what has come; ends the link where the peer has."""
+        assert self.sock is not None
+        ring = self.inward
+        count, remedy = self.driver.caller.receive(self.sock, ring.room())
+        if remedy in (Remedy.WAIT, Remedy.PAUSE):
+            return 0, remedy
+        if remedy is not Remedy.DONE or not count:
+            self.end(Ending.CLOSED if remedy is Remedy.DONE else Ending.RESET)
+            return 0, remedy
+        self.backoff = None
+        if self.finishing:
+            self.dropped += count
+            return count, remedy
+        self.heard_at = monotonic()
+        ring.filled(count)
+        self.receiving = True
+        try:
+            self.receiver.receive(self, ring.data())
+        finally:
+            self.receiving = False
+            ring.taken(count)
+        return count, remedy
+
     async def guarded(self, work: Callable[[], Awaitable[None]], scope: anyio.CancelScope) -> None:
         """Runs a task of the link: whatever goes wrong in it ends this link alone."""
         self.users += 1
@@ -314,170 +364,3 @@
         finally:
             self.users -= 1
             self._release()
-
-
-class Driver:
-    """All links of the program."""
-
-    def __init__(self, tasks: TaskGroup, limits: Limits, poll: Poll):
-        self.tasks, self.poll = tasks, poll
-        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        self.most = max(SPARE, min(limits.sockets or allowed, allowed) - SPARE)
-        self.most_queued = QUEUED * limits.memory_mb * 2**20 or inf
-        self.open = 0  # sockets
-        self.finishing = 0  # links that have said their last word and wait for the peer's
-        self.queued = 0  # bytes of pending frames on all links
-        self.links: Dict[Link, None] = {}
-        self.dirty: Dict[Link, None] = {}  # those with something to write, in order
-        self.short = False  # of descriptors, lately
-        self.give_way: Callable[[], None] = lambda: None  # ends a connection that can be spared
-
-    def flush(self) -> None:
-        while self.dirty:
-            links = list(self.dirty)
-            self.dirty.clear()
-            for link in links:
-                link.pump()
-            if self.queued > self.most_queued:
-                self._relieve()
-
-    def _relieve(self) -> None:
-        """Guards the program's memory against the one reader that holds up most."""
-        worst = max(self.links, key=lambda link: link.queued)
-        logger.warning("a connection with {} bytes unread is ended: memory is short", worst.queued)
-        worst.end(Ending.CLOSED)
-
-    def in_use(self) -> int:
-        """Sockets, less the few whose peers have yet to end what we have ended."""
-        return self.open - min(self.finishing, int(PARTING * self.most))
-
-    def is_crowded(self) -> bool:
-        return self.in_use() >= ROOM_FROM * ACCEPTING * self.most
-
-    def share_of(self, nodes: int) -> int:
-        """Connections that each of so many nodes may have: what clients leave."""
-        return max(1, int((1 - ACCEPTING) * self.most) // max(1, nodes))
-
-    def dial(self, receiver: Receiver, address: Address, within: float, needed: bool = False) -> Link:
-        """A link that comes up later, or ends; one that is needed may use the spare descriptors."""
-        link = Link(self, receiver, LARGE, SMALL)
-        self.links[link] = None
-
-        async def work() -> None:
-            await self._connect(link, address, within, needed)
-            self.flush()
-            await link.read()
-
-        self.tasks.start_soon(link.guarded, work, link.scope)
-        return link
-
-    async def _connect(self, link: Link, address: Address, within: float, needed: bool) -> None:
-        if self.open >= self.most and not needed:
-            self.give_way()
-            for _ in range(TURNS):  # the one that was ended gives its descriptor back
-                await lowlevel.checkpoint()
-            if self.open >= self.most:
-                return link.end(Ending.UNWRITTEN)
-        try:
-            sock = link.sock = _new_socket(socket.SOCK_STREAM)
-        except OSError:
-            return link.end(Ending.UNWRITTEN)
-        self.open += 1
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex(address)
-        if code in (errno.EINPROGRESS, errno.EAGAIN):
-            with anyio.move_on_after(within) as limit:
-                await anyio.wait_writable(sock)
-            if limit.cancelled_caught:
-                return link.end(Ending.NEVER_UP)
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if link.is_over:
-            return
-        if code:  # a reset is no refusal: whoever sent it takes connections
-            resets = errno.ECONNRESET, errno.EPIPE
-            known = {errno.ECONNREFUSED: Ending.REFUSED, **dict.fromkeys(resets, Ending.CUT)}
-            return link.end(known.get(code, Ending.NEVER_UP))
-        link.is_up = True
-        self.dirty[link] = None
-        link.receiver.up(link)
-
-    async def accept(
-        self,
-        listener: socket.socket,
-        receiver: Callable[[], Receiver],
-        make_room: Callable[[bool], bool],
-    ) -> None:
-        """Takes connections until the listener is closed; while descriptors are short they wait in the
-        backlog."""
-        while listener.fileno() >= 0:
-            try:
-                full = self.in_use() >= ACCEPTING * self.most or self.open >= self.most
-                if self.is_crowded() and make_room(full) and full:
-                    await lowlevel.checkpoint()  # the one that was ended gives its descriptor back
-                    continue
-                if full:
-                    raise OSError(errno.EMFILE, f"{self.open} connections are open")
-                sock, _ = listener.accept()
-            except BlockingIOError:
-                try:
-                    await anyio.wait_readable(listener)
-                except anyio.ClosedResourceError:
-                    return
-                continue
-            except OSError as fault:  # no descriptors, or the client has gone already
-                short = fault.errno in (errno.EMFILE, errno.ENFILE)
-                if short and not self.short:
-                    logger.warning("accepting pauses: {}", fault)
-                    self.short = True
-                await anyio.sleep(PAUSE if short else 0)
-                continue
-            if self.short and self.open < ACCEPTING * self.most / 2:
-                logger.info("accepting without pauses again")
-                self.short = False
-            self.take(sock, receiver())
-            await lowlevel.checkpoint()  # a crowd of new connections must not keep the others from being read
-
-    def take(self, sock: socket.socket, receiver: Receiver) -> None:
-        """A connection that was accepted."""
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.open += 1
-        link = Link(self, receiver, SMALL, LARGE)
-        link.sock, link.is_up = sock, True
-        self.links[link] = None
-        receiver.up(link)
-        self.flush()
-        self.tasks.start_soon(link.guarded, link.read, link.scope)
-
-    def take_the_last(self, listener: socket.socket, receiver: Callable[[], Receiver]) -> None:
-        """Takes all that waits in the backlog, and closes the listener in the same moment. Guards those whom
-        the machine has accepted: a closed backlog resets them, a later peer is refused and goes elsewhere."""
-        while self.open < self.most:
-            try:
-                self.take(listener.accept()[0], receiver())
-            except ConnectionError:
-                continue  # that one has gone already
-            except OSError:
-                break  # that was all
-        anyio.notify_closing(listener)
-        listener.close()
-
-
-def _new_socket(kind: socket.SocketKind) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, kind)
-    sock.setblocking(False)
-    return sock
-
-
-def listen(address: Address) -> socket.socket:
-    sock = _new_socket(socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.listen(BACKLOG)
-    return sock
-
-
-def datagrams(address: Address) -> socket.socket:
-    sock = _new_socket(socket.SOCK_DGRAM)
-    sock.bind(address)
-    return sock
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -1,5 +1,5 @@
-"""Owns what is known of each connection: a client's open streams, a node's connections and what is out on
-them, the coordinator's feed.
+"""Owns what is known of the connections that the director makes: a node's and what is out on them, and the
+coordinator's feed.
 
 It must never talk to the module or answer a req: what comes in goes to the director, in its words.
 """
@@ -12,133 +12,14 @@
 from loguru import logger
 
 from ..facts import Address
-from . import clientwire, feed, nodewire
+from . import feed, nodewire
 from .ending import Ending
 from .links import Frame, Link
 
 if TYPE_CHECKING:
     from .director import Director, OpenReq
 
-STREAMS = 32  # open reqs that a client's connection carries, says the protocol
 SECOND = 10_000  # tenths of a millisecond
-BEGIN = (
-    15 * SECOND // 10
-)  # a client that has sent no frame, or has not ended one that it began, by then never
-# will: usual ones write at once, and the protocol's users count 3 s until we must have said so
-IDLE = 45 * SECOND // 10  # clients close their idle connections after 4 s
-LINGER = SECOND // 2  # for reading why a connection ends; it is closed then, read or not
-PARTING = SECOND // 10  # for ending an idle connection on the other side too: a req may cross our end for
-# 50 ms, says the protocol, and the way takes some
-
-
-class Client:
-    """One client's connection."""
-
-    def __init__(self, director: Director):
-        self.director = director
-        director.clients_seen += 1
-        self.number = director.clients_seen
-        self.wire = clientwire.ClientWire()
-        self.open: Dict[int, OpenReq] = {}  # by stream
-        self.link: Link
-        self.ending_at: Optional[int] = None  # when we began to end it
-        self.linger = PARTING  # how long the client may take to end it too
-        self.asked = False  # has sent a frame
-        self.since = director.clock.now()  # it is waited for: its first frame, the rest of one, or the next
-
-    def up(self, link: Link) -> None:
-        self.link = link
-        self.director.clients[self] = None
-        if self.director.leave_at is not None:
-            link.write(clientwire.no_more())
-
-    def receive(self, link: Link, data: memoryview) -> None:
-        if self.ending_at is not None:
-            return
-        begun = bool(self.wire.held)
-        messages = self.wire.feed(data)
-        if messages or not begun:
-            self._waits()
-        for message in messages:
-            if self.ending_at is not None:
-                return
-            self.asked = True
-            if isinstance(message, clientwire.Gone):
-                self._gone(message.stream)
-            elif isinstance(message, clientwire.ReadyAsked):
-                link.write(clientwire.ready(message.stream, self.director.leave_at is None))
-            elif isinstance(message, (clientwire.Came, clientwire.Unreadable)):
-                if not message.stream or message.stream in self.open:
-                    self._refuse(f"stream {message.stream} can't take a req")
-                elif len(self.open) >= STREAMS:
-                    self._refuse(f"more than {STREAMS} open reqs")
-                else:
-                    self.director.take(self, message)
-            else:
-                self._refuse(message.text)
-
-    def _gone(self, stream: int) -> None:
-        req = self.open.pop(stream, None)
-        if req is not None:
-            self.director.left(req)
-        for frame in [each for each in self.link.pending if each.mark == stream]:
-            self.link.drop(frame)  # an answer that waits to be written
-
-    def answer(self, req: OpenReq, code: int, fields: Dict[str, str], body: bytes) -> None:
-        """The final answer; after the last one a connection that has to end does."""
-        self.open.pop(req.stream, None)
-        self._waits()
-        self.link.write(clientwire.answer(req.stream, code, fields, body), req.stream, req.wanted_until)
-
-    def part(self) -> None:
-        """Ends a connection on which nothing is open: our side first, then all of it once the client has
-        ended its own. Guards a req that comes in that moment: its client sees an orderly end, not a reset,
-        and sends it elsewhere. What is read from here on is dropped."""
-        self.ending_at = self.director.clock.now()
-        self.link.finish()
-
-    def _refuse(self, text: str) -> None:
-        """Tells the client what is wrong, and ends the connection: what is open on it is aborted, since
-        whoever breaks the protocol on a connection can't be trusted with the rest of it. Guards the nodes
-        against crowds of reqs: what came with the breach has not been written to them yet."""
-        self.director.complain("breaches", f"a client's connection is ended: {text}")
-        self.ending_at = self.director.clock.now()  # nothing that its reqs cause is to come before this
-        for req in list(self.open.values()):
-            self.director.abort(req)
-        self.link.write(clientwire.error(text))
-        self.part()
-        self.linger = LINGER
-
-    def _waits(self) -> None:
-        """Waiting begins anew."""
-        self.since = self.director.clock.now()
-        if self in self.director.clients:
-            del self.director.clients[self]
-            self.director.clients[self] = None
-
-    def is_idle(self) -> bool:
-        """True when nothing is open, nothing waits to be written, and nothing to be read."""
-        link = self.link
-        busy = self.open or self.ending_at is not None
-        return not (busy or link.pending or link.outward.held or link.has_unread())
-
-    def look(self, now: int) -> None:
-        """Ends the connection if its time is over."""
-        if self.ending_at is not None:
-            if now > self.ending_at + self.linger:
-                self.link.end(Ending.CLOSED)
-        elif self.wire.held:
-            if now > self.since + BEGIN and not self.link.has_unread():  # it is not we who are late
-                self._refuse("a frame that does not end")
-        elif self.is_idle() and now > self.since + (IDLE if self.asked else BEGIN):
-            self.director.counts["idle"] += 1
-            self.part()
-
-    def ended(self, link: Link, ending: Ending) -> None:
-        self.director.clients.pop(self, None)
-        for req in list(self.open.values()):
-            self.director.left(req)
-        self.open.clear()
 
 
 class Errand:
@@ -322,6 +203,8 @@
         for one in news:
             self.heard, self.heard_at = True, self.director.clock.now()
             self.director.learn(one)
+            if isinstance(one, feed.Alive):  # nothing new: all that happened so far has been told
+                self.director.caught_up_at = self.heard_at
         if fault is not None:
             logger.warning("coordinator: can't read {}", fault)
             link.end(Ending.GARBLED)
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -15,22 +15,29 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from ..facts import Assignment
-from .director import MS, SECOND, Director
-from .links import Driver, Poll, datagrams, listen
-from .parties import Client
-
-STILL_COMING = 0.7  # seconds after SIGTERM in which connections, and reqs on them, still come: 0.6 says the
-# platform
+from ..facts import Address, Assignment
+from .client_connection import Client
+from .clock import MILLISECOND, SECOND, Clock
+from .director import Director
+from .driver import Driver
+from .poll import Poll
+from .sockets import datagrams, listen
+from .system_calls import Call, Remedy, remedy_for
+
+STILL_COMING = 0.7  # seconds after SIGTERM in which connections still come: 0.4 says the platform
 LOOK = 0.02  # seconds between looks for clients that have all their answers
 COLLECT = 20_000, 20, 20  # ordinary work leaves no cycles, and a pause grows with the module's tables
-KILLED = 700 * MS  # SIGKILL may come the longest client timeout, or LONGEST if that is less, and this long
-# after SIGTERM
+KILLED = (
+    700 * MILLISECOND
+)  # SIGKILL may come the longest client timeout, or LONGEST if that is less, and this
+# long after SIGTERM
 LONGEST = 3 * SECOND
-WRITE_OUT = 200 * MS  # kept of that for writing the last answers
-LAST = 100 * MS  # kept of that for the end itself
+WRITE_OUT = 200 * MILLISECOND  # kept of that for writing the last answers
+NOT_KILLED = 500 * MILLISECOND  # after that time the program ends by itself, whoever still holds a connection
+LAST = 200 * MILLISECOND  # for clients to end their side then
 AGAIN = 0.05  # seconds until a task that failed is started again
-HEARD = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+LISTEN_FOR = 2.0  # seconds in which an address that is taken may come free
+HEARD = signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1
 
 
 async def _keep(work: Callable[..., Awaitable[None]], *args: Any) -> None:
@@ -55,24 +62,32 @@
     books: Any = None,
     shelf: Any = None,
     runner: Any = None,
+    clock: Optional[Clock] = None,
 ) -> None:
-    """Serves until SIGTERM; at SIGHUP the configuration is read again."""
+    """Serves until SIGTERM; at SIGHUP the configuration is read again, at SIGUSR1 the latest events of
+    connections and requests go to the log."""
     poll = Poll()
     options = {"loop_factory": lambda: asyncio.SelectorEventLoop(poll)}
-    anyio.run(_serve, told, read_again, poll, books, shelf, runner, backend_options=options)
+    anyio.run(_serve, told, read_again, poll, books, shelf, runner, clock or Clock(), backend_options=options)
 
 
 async def _serve(
-    told: Assignment, read_again: Callable[[], Assignment], poll: Poll, books: Any, shelf: Any, runner: Any
+    told: Assignment,
+    read_again: Callable[[], Assignment],
+    poll: Poll,
+    books: Any,
+    shelf: Any,
+    runner: Any,
+    clock: Clock,
 ) -> None:
     with anyio.open_signal_receiver(*HEARD) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
         async with anyio.create_task_group() as tasks:
-            director, listener = _start(told, poll, tasks, books, shelf)
+            director, listener = await _start(told, poll, tasks, books, shelf, clock)
             if runner is not None:
                 tasks.start_soon(_keep, runner.run)
             await _until_told_to_leave(signals, director, read_again, books)
-            tasks.start_soon(_until_told_to_leave, signals, None, read_again, books)  # it is ending already
+            tasks.start_soon(_hear_signals_while_ending, signals, director)
             await _leave(director, listener)
             for each in (books, shelf):
                 if each is not None:
@@ -82,12 +97,13 @@
 
 async def _until_told_to_leave(
     signals: AsyncIterator[signal.Signals],
-    director: Optional[Director],
+    director: Director,
     read_again: Callable[[], Assignment],
     books: Any,
 ) -> None:
     async for number in signals:
-        if director is None:
+        if number == signal.SIGUSR1:
+            director.events.dump("SIGUSR1")
             continue
         if number != signal.SIGHUP:
             return
@@ -99,12 +115,33 @@
             logger.error("SIGHUP: {}; the old configuration holds", fault)
 
 
-def _start(
-    told: Assignment, poll: Poll, tasks: TaskGroup, books: Any, shelf: Any
+async def _hear_signals_while_ending(signals: AsyncIterator[signal.Signals], director: Director) -> None:
+    """It is ending already: a second SIGTERM or a SIGHUP changes nothing."""
+    async for number in signals:
+        if number == signal.SIGUSR1:
+            director.events.dump("SIGUSR1")
+
+
+async def _listen(address: Address) -> socket.socket:
+    """A listener; what is in the way for a moment only is waited for, then OSError tells what it is."""
+    passing = Remedy.PAUSE, Remedy.DESCRIPTORS, Remedy.RETRY
+    with anyio.move_on_after(LISTEN_FOR):
+        while True:
+            try:
+                return listen(address)
+            except OSError as fault:
+                if remedy_for(Call.LISTEN, fault.errno or 0) not in passing:
+                    raise
+            await anyio.sleep(LOOK)
+    return listen(address)
+
+
+async def _start(
+    told: Assignment, poll: Poll, tasks: TaskGroup, books: Any, shelf: Any, clock: Clock
 ) -> Tuple[Director, socket.socket]:
     """What is known goes to the module first; then clients may come."""
     driver = Driver(tasks, told.limits, poll)
-    director = Director(told, driver, books, shelf)
+    director = Director(told, driver, books, shelf, clock)
     if books is not None:
         books.tell = director.tell_peers
         tasks.start_soon(_keep, books.keep)
@@ -113,7 +150,7 @@
     if told.peer_listen is not None:
         director.peers = datagrams(told.peer_listen)
     director.start()
-    listener = listen(told.listen)
+    listener = await _listen(told.listen)
     for work in (director.keep_time, director.keep_watch, director.follow, director.hear_peers):
         tasks.start_soon(_keep, work)
     tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director), director.make_room)
@@ -125,15 +162,25 @@
 
 
 async def _leave(director: Director, listener: socket.socket) -> None:
-    """Takes and answers what still comes, for as long as the platform says that it does, and all before it
-    may end the program by force. Then the backlog is taken and closed, each connection is ended in order once
-    its last answer is written, and the program ends when no client is left."""
+    """Takes and answers what still comes, and all before the program may be ended by force. Then the backlog
+    is taken and closed. Connections stay open for as long as their clients hold them, since requests come on
+    them until the end: later ones are refused at once. The program ends when no client is left, or some time
+    after it should have been killed."""
+    clock = director.clock
     logger.info("leaving: {}", director.report())
     killed = min(director.router.longest, LONGEST) + KILLED
+    began = clock.now()
     director.leave(killed - WRITE_OUT)
-    with anyio.move_on_after(director.clock.seconds(killed - LAST)):
-        await anyio.sleep(STILL_COMING)
-        director.driver.take_the_last(listener, lambda: Client(director))
-        while not director.part_idle():
+    await anyio.sleep(STILL_COMING)
+    left = clock.seconds(began + killed - WRITE_OUT - clock.now())
+    await director.driver.close_listener(listener, lambda: Client(director), left)
+    director.take_no_more()
+    director.end_silent_clients()
+    director.driver.flush()
+    while director.clients and clock.now() < began + killed + NOT_KILLED:
+        await anyio.sleep(LOOK)
+    director.end_all_clients()
+    with anyio.move_on_after(clock.seconds(LAST)):
+        while director.clients:
             await anyio.sleep(LOOK)
     logger.info("left: {}", director.report())
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -20,11 +20,13 @@
     configuration,
     endpoint,
     free_port,
+    list_record,
     settings,
 )
 
 INJECTION = str(Path(ironhinge.__file__).parent / "lab" / "injection")
 ANSWERS = 1, 2, 3  # served, refused, failed
+SERVED = 1
 CLIENTS, REQUESTS = 6, 50
 SLOW_PATH = 0.09  # seconds that bytes take to a client and back: more than a resting connection had
 
@@ -108,6 +110,52 @@
     assert failed_calls(log)  # the faults were there
 
 
+@pytest.mark.parametrize(
+    "call, name",
+    [
+        ("connect", "EADDRNOTAVAIL"),
+        ("connect", "ENETUNREACH"),
+        ("connect", "ENOBUFS"),
+        ("connect", "EAGAIN"),
+        ("connect", "EINTR"),
+        ("socket", "ENOBUFS"),
+        ("getsockopt", "ENOMEM"),
+        ("send", "ENOBUFS"),
+        ("recv_into", "ENOMEM"),
+    ],
+)
+def test_trouble_of_our_own_on_the_way_to_a_node_costs_no_request_and_no_node(faulty, tmp_path, call, name):
+    """Ports, routes and buffers of this machine that are short for a moment: the node is asked anyway."""
+    log = str(tmp_path / "failed")
+    rule = {"call": call, "errno": name, "share": 0.5, "side": "made"}
+    program, node, _ = faulty({"calls": [rule], "log": log})
+    client = FakeClient(program.port)
+    for i in range(60):
+        assert client.answer(client.ask(entity=f"{i:016x}", patience=3000))[0] == SERVED
+    assert failed_calls(log)
+    logged = program.text()
+    assert "REFUSED" not in logged and "NEVER_UP" not in logged
+
+
+@pytest.mark.parametrize("call", ["send", "recv_into"])
+def test_a_failure_that_lasts_for_a_while_delays_answers_and_loses_none(faulty, tmp_path, call):
+    """Every call fails for 0.4 s: nothing ends, and nothing spins."""
+    flag = tmp_path / "failing"
+    rule = {"call": call, "errno": "ENOBUFS", "side": "accepted", "while": str(flag)}
+    log = str(tmp_path / "failed")
+    program, _, _ = faulty({"calls": [rule], "log": log})
+    clients = [FakeClient(program.port) for _ in range(10)]
+    assert all(client.is_ready() for client in clients)
+    flag.touch()
+    streams = [client.ask(patience=3000) for client in clients]
+    time.sleep(0.4)
+    flag.unlink()
+    assert [client.answer(stream)[0] for client, stream in zip(clients, streams, strict=True)] == [
+        SERVED
+    ] * 10
+    assert len(failed_calls(log)) < 10 * 100  # of 10 connections in 0.4 s
+
+
 def test_a_connection_taken_while_accept_fails_after_sigterm_is_answered(faulty, tmp_path):
     """Connections that the machine accepted wait in the backlog; a failed accept is not its end."""
     flag = tmp_path / "failing"
@@ -146,3 +194,57 @@
     for client, stream, rest in clients:
         client.sock.sendall(rest)
         assert client.answer(stream)[0] in ANSWERS
+
+
+def test_a_request_that_crosses_the_end_of_a_resting_connection_on_a_slow_path_is_answered(faulty):
+    """The client learns late that its connection ends, and what it wrote before that comes late as well."""
+    program, _, _ = faulty({})
+    client = FakeClient(program.port)
+    assert client.is_ready()
+    client.sock.settimeout(PATIENCE)
+    first = client.sock.recv(1, socket.MSG_PEEK)  # the director's word that it ends, or the end itself
+    time.sleep(SLOW_PATH)
+    stream = client.ask()
+    assert first and client.answer(stream)[0] in ANSWERS
+
+
+def purge_record(obj):
+    return obj.to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big")
+
+
+@pytest.mark.parametrize("step", [7.0, 3600.0, -7.0, -3600.0])
+def test_a_purge_is_kept_when_the_wall_clock_steps(faulty, step):
+    """A copy from before the purge must not do, whatever the time of day seems to be."""
+    program, node, coordinator = faulty({"steps": [[2.0, step]]})
+    began = time.monotonic()
+    coordinator.hellos.get(timeout=PATIENCE)
+    time.sleep(max(0.0, 2.2 - (time.monotonic() - began)))  # the step has come
+    coordinator.tell(2, 3, purge_record(0x7F3A9C21E0B4D655))
+    time.sleep(0.4)
+    client = FakeClient(program.port)
+    for _ in range(5):
+        assert client.answer(client.ask())[0] in ANSWERS
+        accept = int(node.next()[2].get("accept", 0))
+        assert 0 < accept <= 2000
+
+
+def test_a_cold_node_is_spared_when_the_wall_clock_steps(faulty):
+    """A node that started a moment ago did not start an hour ago."""
+    program, node, coordinator = faulty({"steps": [[1.0, 3600.0]]})
+    began = time.monotonic()
+    client = FakeClient(program.port)
+    coordinator.hellos.get(timeout=PATIENCE)
+    cold = FakeNode(holds_all=True)
+    time.sleep(max(0.0, 1.2 - (time.monotonic() - began)))
+    record = bytearray(list_record("s-00000002", cold.address, 0))
+    record[-8:] = int(time.time() * 1000).to_bytes(8, "big")
+    coordinator.tell(2, 2, bytes(record))
+    time.sleep(0.2)
+    streams = []
+    for i in range(200):
+        streams.append(client.ask(entity=f"{i:016x}", size="400", patience=3000))
+        if len(streams) == 20:
+            assert all(client.answer(stream)[0] in ANSWERS for stream in streams)
+            streams = []
+    # at 20 transfers at full pace, a fifth of it cold, three times that: 12 at 80 ms each in its first second
+    assert len(cold.wanted) <= 40 and len(node.wanted) >= 100
