--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -208,8 +208,8 @@
         return True
 
     def make_room(self, pressing: bool) -> None:
-        """Ends it as soon as may be, for others. One that never asked ends without notice, and is closed whole
-        where no descriptor is left: crowds of them come faster than anything else lets them go."""
+        """Ends it as soon as may be, for others. One that never asked ends without notice, and is closed
+        whole where no descriptor is left: crowds of them come faster than anything else lets them go."""
         if pressing and not self.asked:
             self.cause = CloseCause.ROOM
             return self.link.end(Ending.CLOSED)
