--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -46,6 +46,14 @@
     HALF_CLOSED = "half-closed"  # our side has ended; what comes is dropped
 
 
+class Use(Enum):
+    """What a client has used its connection for, so far; the least useful first."""
+
+    NONE = 0  # it never sent a frame
+    ASKED = 1  # it asked whether the director is ready, at most
+    REQUESTS = 2
+
+
 class CloseCause(Enum):
     """Why a connection is ended by us."""
 
@@ -72,7 +80,7 @@
             None  # from when on an announced connection may end; None: not yet known
         )
         self.notice = 0  # how long it has to have been quiet by then
-        self.asked = False  # has sent a frame
+        self.use = Use.NONE
         now = director.clock.now()
         self.since = now  # it is waited for: its first frame, the rest of one, or the next
         self.heard_at = now  # bytes came
@@ -96,7 +104,7 @@
         for message in messages:
             if self.phase is Phase.HALF_CLOSED:
                 return
-            self.asked = True
+            self._uses(message)
             if isinstance(message, clientwire.Gone):
                 self._gone(message.stream)
             elif isinstance(message, clientwire.ReadyAsked):
@@ -111,6 +119,12 @@
             else:
                 self._refuse(message.text)
 
+    def _uses(self, message: clientwire.Message) -> None:
+        if isinstance(message, clientwire.Came):
+            self.use = Use.REQUESTS
+        elif self.use is Use.NONE:
+            self.use = Use.ASKED
+
     def _gone(self, stream: int) -> None:
         req = self.open.pop(stream, None)
         if req is not None:
@@ -138,6 +152,7 @@
         if notice is None:
             self.ends_at, self.notice = None, 0
         elif self.ends_at is None:
+            self.cause = cause
             self.ends_at, self.notice = self.director.clock.now() + notice, notice
 
     def half_close(self) -> None:
@@ -175,8 +190,9 @@
         return not (busy or link.has_unread())
 
     def is_idle(self) -> bool:
-        """True when it may be chosen to end."""
-        return self.phase is Phase.OPEN and self.is_quiet()
+        """True when it may be chosen to end: nothing has begun to end it, or only the end of the program."""
+        waits = self.phase is Phase.ANNOUNCED and self.ends_at is None
+        return (self.phase is Phase.OPEN or waits) and self.is_quiet()
 
     def look(self, now: int) -> None:
         """Takes the next step of the end if its time has come."""
@@ -190,13 +206,20 @@
                 self.end_stalled(now, STALLED)
         elif self.phase is Phase.ANNOUNCED:
             if self.ends_at is not None and now >= max(self.ends_at, self.since + self.notice):
-                if self.is_quiet():
-                    self.half_close()
-        elif now > self.since + (IDLE if self.asked else STALLED) and self.is_idle():
-            if self.asked:
-                self.announce(CloseCause.IDLE, NOTICE)
-            else:
+                self._end_if_quiet()
+        elif now > self.since + (STALLED if self.use is Use.NONE else IDLE) and self.is_idle():
+            if self.use is Use.NONE:
                 self.announce(CloseCause.SILENT, SILENT_NOTICE)
+            else:
+                self.announce(CloseCause.IDLE, NOTICE)
+
+    def _end_if_quiet(self) -> None:
+        if not self.is_quiet():
+            return
+        if self.cause is CloseCause.ROOM and self.use is not Use.REQUESTS:
+            self.link.end(Ending.CLOSED)  # its descriptor is wanted now
+        else:
+            self.half_close()
 
     def end_stalled(self, now: int, limit: int) -> bool:
         """Refuses a frame that was begun and of which nothing more has come for so long; False if there is
@@ -209,12 +232,16 @@
 
     def make_room(self, pressing: bool) -> None:
         """Ends it as soon as may be, for others. One that never asked ends without notice, and is closed
-        whole where no descriptor is left: crowds of them come faster than anything else lets them go."""
-        if pressing and not self.asked:
+        whole where no descriptor is left: crowds of them come faster than anything else lets them go. One
+        that has brought requests may bring more, and has its full notice."""
+        if pressing and self.use is Use.NONE:
             self.cause = CloseCause.ROOM
             return self.link.end(Ending.CLOSED)
-        self.announce(CloseCause.ROOM, PRESSING_NOTICE if pressing else HURRIED_NOTICE)
-        if not self.asked:
+        if self.use is Use.REQUESTS:
+            self.announce(CloseCause.ROOM, NOTICE)
+        else:
+            self.announce(CloseCause.ROOM, PRESSING_NOTICE if pressing else HURRIED_NOTICE)
+        if self.use is Use.NONE:
             self.half_close()
 
     def ended(self, link: Link, ending: Ending) -> None:
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -21,12 +21,13 @@
 from ..brain import Router
 from ..facts import Assignment, ListNews, PurgeNews, load_report
 from . import clientwire, nodewire
-from .client_connection import HURRIED_STALLED, UNASKED_NOTICE, Client, CloseCause
+from .client_connection import HURRIED_STALLED, UNASKED_NOTICE, Client, CloseCause, Use
 from .clock import MILLISECOND as MS
 from .clock import SECOND, Clock
 from .driver import Driver
 from .ending import RESULTS, Ending
 from .event_log import EventKind, EventLog
+from .links import Link
 from .parties import Dispatch, Errand, FeedLink, Node
 from .system_calls import Backoff, Call, Remedy
 
@@ -40,6 +41,7 @@
 SLACK = 50 * MS  # each limit of the protocol is longer by this
 LAG_FADES = 97  # per cent of the lateness seen that is still reckoned with a pulse later
 SETTLED = 150 * MS  # a client's connection is not closed for others' sake before it has waited that long; and
+PRESSED = 100 * MS  # or that long, where no descriptor is left; and
 AT_PEACE = SECOND  # one on which something was asked not before that, while there is any room at all; nor is
 # one to a node
 GROUPS = 256  # of objects, says the protocol
@@ -207,7 +209,7 @@
         try:
             if isinstance(message, clientwire.Unreadable):
                 raise ValueError(message.text)
-            came = self._came(message.fields, client.number)
+            came = self._came(message.fields, client)
         except ValueError as fault:
             self.complain("unreadable", f"a req can't be read: {fault}")
             text = str(fault).encode()
@@ -220,7 +222,7 @@
         self.counts["reqs"] += 1
         self.happen(came)
 
-    def _came(self, fields: Dict[str, str], viewer: int) -> face.ReqCame:
+    def _came(self, fields: Dict[str, str], client: Client) -> face.ReqCame:
         name = clientwire.digits_of(fields, "trace")
         if name in self.reqs:
             raise ValueError("field 'trace' names an open req")
@@ -243,11 +245,11 @@
             part=clientwire.count_of(fields, "part"),
             group=clientwire.count_of(fields, "group", GROUPS - 1),
             size=size,
-            left=max(0, patience - self.margin()),
+            left=max(0, patience - self.margin(client.link)),
             vhost=vhost,
             repeat=fields.get("redo") == "1",
             write=facts.writes,
-            viewer=viewer,
+            viewer=client.number,
         )
 
     def left(self, req: OpenReq) -> None:
@@ -623,10 +625,14 @@
                 self.complained.clear()
                 self.events.allow_again()
 
-    def margin(self) -> int:
-        """Guards against reqs lost while the program is short of CPU: what a req that was just read may have
-        waited, and what its end may come late by, beyond what the protocol leaves room for."""
-        waited = self.clock.now() - int(self.driver.poll.since * SECOND)
+    def margin(self, link: Link) -> int:
+        """Guards against reqs lost while the program is short of CPU or descriptors: what a req that was just
+        read may have waited, in the backlog too, and what its end may come late by, beyond what the protocol
+        leaves room for."""
+        since = self.driver.poll.since
+        if link.unread_since is not None:
+            since = min(since, link.unread_since)
+        waited = self.clock.now() - int(since * SECOND)
         return max(0, waited + self.lag - SLACK)
 
     def sweep(self) -> None:
@@ -644,19 +650,20 @@
 
     def make_room(self, pressing: bool) -> bool:
         """Guards the descriptors against clients that hold connections and ask nothing: the one that has
-        waited longest goes, and of those that never asked first. The protocol allows closing where no request
-        is open; but whoever will ask again comes back at once, so that ending more than one for each that
-        comes makes a crowd of its own."""
+        waited longest goes, and of those first that never brought a request. The protocol allows closing
+        where no request is open; but whoever will ask again comes back at once, so that ending more than one
+        for each that comes makes a crowd of its own."""
         ending = sum(client.cause is CloseCause.ROOM for client in self.clients)
         if ending >= self.driver.ending_at_once():
             return False
         now = self.clock.now()
-        settled = [client for client in self.clients if client.since <= now - SETTLED]
-        for asked in (False, True):
+        least = PRESSED if pressing else SETTLED
+        settled = [client for client in self.clients if client.since <= now - least]
+        for use in Use:
             for client in settled:
-                if client.asked is not asked or not client.is_idle():
+                if client.use is not use or not client.is_idle():
                     continue
-                if asked and not pressing and client.since > now - AT_PEACE:
+                if use is Use.REQUESTS and not pressing and client.since > now - AT_PEACE:
                     break
                 client.make_room(pressing)
                 return True
@@ -757,7 +764,7 @@
     def end_silent_clients(self) -> None:
         """Begins to end the connections of clients that never asked anything."""
         for client in list(self.clients):
-            if not client.asked:
+            if client.use is Use.NONE:
                 client.announce(CloseCause.SHUTDOWN, UNASKED_NOTICE)
 
     def end_all_clients(self) -> None:
--- a/ironhinge/net/driver.py
+++ b/ironhinge/net/driver.py
@@ -30,10 +30,11 @@
 # clients hold a third at most, says the protocol
 ROOM_FROM = 0.9  # part of that from which idle connections are ended for new ones
 PARTING = 0.05  # part of the descriptors that connections may hold which end without counting as in use
-ENDING_AT_ONCE = 0.3  # part of the descriptors whose connections may be ending where none is left
+ENDING_AT_ONCE = 0.5  # part of the descriptors whose connections may be ending where none is left
 QUEUED = 0.25  # part of the memory that what is queued for slow readers may take
 TURNS = 3  # of the event loop until a connection that was ended has closed its socket
-PAUSE = 0.02  # seconds until accepting is tried again without descriptors
+PAUSE = 0.01  # seconds until accepting is tried again without descriptors
+LONG_IN_BACKLOG = 0.03  # seconds from which on it is asked how long what a connection brings has waited
 NOT_CONNECTED = {  # how a link ends that did not come up
     Remedy.REFUSED: Ending.REFUSED,
     Remedy.RESET: Ending.CUT,
@@ -63,6 +64,7 @@
         self.links: Dict[Link, None] = {}
         self.dirty: Dict[Link, None] = {}  # those with something to write, in order
         self.short = False  # of descriptors, lately
+        self.backlog_empty_at = monotonic()  # whoever waits to be accepted came later than this
         self.give_way: Callable[[], None] = lambda: None  # ends a connection that can be spared
 
     def flush(self) -> None:
@@ -209,16 +211,18 @@
     ) -> bool:
         """Until the next try; False once the listener is closed."""
         if remedy is Remedy.WAIT:
+            self.backlog_empty_at = monotonic()
             try:
                 await self.caller.readable(listener)
             except anyio.ClosedResourceError:
                 return False
+            self.backlog_empty_at = max(self.backlog_empty_at, self.poll.since)
         elif remedy is Remedy.SKIP:
             await lowlevel.checkpoint()
         elif remedy is Remedy.DESCRIPTORS:
             self._is_short("the system has no descriptor left")
             make_room(True)
-            await anyio.sleep(PAUSE)
+            await anyio.sleep(backoff.next())
         elif remedy is Remedy.PAUSE:
             await anyio.sleep(backoff.next())
         elif listener.fileno() >= 0:
@@ -237,13 +241,16 @@
         link = Link(self, receiver, SMALL, LARGE)
         link.sock, link.is_up = sock, True
         link.sends_at_once = self.caller.send_without_delay(sock)
+        waited = monotonic() - self.backlog_empty_at
+        if waited > LONG_IN_BACKLOG:
+            link.unread_since = monotonic() - min(waited, self.caller.since_data(sock, waited))
         self.links[link] = None
         receiver.up(link)
         self.flush()
         self.tasks.start_soon(link.guarded, link.read, link.scope)
 
     async def close_listener(
-        self, listener: socket.socket, receiver: Callable[[], Receiver], within: float
+        self, listener: socket.socket, receiver: Callable[[], Receiver], make_room: RoomMaker, within: float
     ) -> None:
         """Takes all that waits in the backlog, and closes the listener in the moment in which it is empty, or
         after so many seconds. Guards those whom the machine has accepted: a closed backlog resets them, a
@@ -251,6 +258,7 @@
         until, backoff = monotonic() + within, Backoff()
         while monotonic() < until:
             if self.open >= self.most:
+                make_room(True)
                 await anyio.sleep(backoff.next())
                 continue
             sock, remedy = self.caller.accept(listener)
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -96,6 +96,9 @@
         self.receiving = False  # its receiver has the bytes just now
         self.dropped = 0  # bytes that came after our side had ended
         self.heard_at = 0.0
+        # what is read next may have come at any time since then (monotonic seconds): it waited in the
+        # backlog, or could not be read; None: since the last look at the sockets
+        self.unread_since: Optional[float] = None
         self.users = 0  # tasks that wait on the socket
         self.scope = anyio.CancelScope()
         self.writing: Optional[anyio.CancelScope] = None  # while the system takes no more
@@ -317,7 +320,7 @@
             self.driver.flush()
             if self.is_over:
                 return
-            if count < size:  # that was all for now
+            if count < size and self.unread_since is None:  # that was all for now
                 await caller.readable(self.sock)
             elif reads % READS == 0:
                 await lowlevel.checkpoint()
@@ -333,6 +336,10 @@
         ring = self.inward
         count, remedy = self.driver.caller.receive(self.sock, ring.room())
         if remedy in (Remedy.WAIT, Remedy.PAUSE):
+            if remedy is Remedy.WAIT:
+                self.unread_since = None
+            elif self.unread_since is None:
+                self.unread_since = self.driver.poll.since
             return 0, remedy
         if remedy is not Remedy.DONE or not count:
             self.end(Ending.CLOSED if remedy is Remedy.DONE else Ending.RESET)
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -173,7 +173,7 @@
     director.leave(killed - WRITE_OUT)
     await anyio.sleep(STILL_COMING)
     left = clock.seconds(began + killed - WRITE_OUT - clock.now())
-    await director.driver.close_listener(listener, lambda: Client(director), left)
+    await director.driver.close_listener(listener, lambda: Client(director), director.make_room, left)
     director.take_no_more()
     director.end_silent_clients()
     director.driver.flush()
--- a/ironhinge/net/sockets.py
+++ b/ironhinge/net/sockets.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import socket
+import sys
 from typing import Callable, Optional, Tuple
 
 import anyio
@@ -14,6 +15,7 @@
 from .system_calls import SHORTEST_PAUSE, Call, Remedy, name_of, remedy_for
 
 BACKLOG = 1024  # connections that wait to be accepted
+LAST_DATA_RECEIVED = slice(52, 56)  # of struct tcp_info: tcpi_last_data_recv, in milliseconds
 AT_ONCE = 8  # times that an interrupted call is made again before it counts as short of something
 
 Report = Callable[[Call, str, Remedy], None]  # hears of each error that is not ordinary
@@ -118,6 +120,18 @@
                 return remedy is not Remedy.PAUSE
         return False
 
+    def since_data(self, sock: socket.socket, unknown: float) -> float:
+        """Seconds since bytes last came on a connection, as tcp(7) tells them; `unknown` where it does
+        not."""
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.stop)
+        except OSError as error:
+            self.failed(Call.GET_OPTION, error.errno)
+            return unknown
+        if len(info) < LAST_DATA_RECEIVED.stop:
+            return unknown
+        return int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder) / 1000
+
     def shut_down(self, sock: socket.socket, how: int) -> Remedy:
         """Ends one or both sides of a connection."""
         for _ in range(AT_ONCE):
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -12,7 +12,7 @@
 from ironhinge.brain import Router
 from ironhinge.facts import assignment
 from ironhinge.net import clientwire
-from ironhinge.net.client_connection import Client, Phase
+from ironhinge.net.client_connection import Client, Phase, Use
 from ironhinge.net.clock import Clock
 from ironhinge.net.director import Director
 from ironhinge.net.driver import Driver
@@ -45,7 +45,7 @@
     """In a client's link's place: keeps what is written."""
 
     def __init__(self):
-        self.pending, self.frames = [], []
+        self.pending, self.frames, self.unread_since = [], [], None
 
     def write(self, pieces, mark=0, until=None):
         self.frames.append(b"".join(pieces))
@@ -509,7 +509,7 @@
         for waited, asked in [(20000, True), (9000, True), (5000, False), (3000, True), (100, False)]:
             one = Client(director)
             one.link = Link(director.driver, one, 0, 0)
-            one.since, one.asked = now - waited, asked
+            one.since, one.use = now - waited, Use.REQUESTS if asked else Use.NONE
             director.clients[one] = None
             clients.append(one)
         director.take(clients[0], came(1))
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -15,11 +15,13 @@
 from ironhinge.brain import COLD_MARGIN, Req, Router
 from ironhinge.facts import Address, Limits
 from ironhinge.net import clientwire, driver
-from ironhinge.net.client_connection import Client, CloseCause, Phase
+from ironhinge.net.client_connection import Client, CloseCause, Phase, Use
+from ironhinge.net.clock import SECOND
 from ironhinge.net.driver import Driver
 from ironhinge.net.poll import Poll
 from ironhinge.net.service import _leave
 from ironhinge.net.sockets import listen
+from ironhinge.net.system_calls import Remedy
 
 from .helpers import (
     CACHES,
@@ -51,6 +53,11 @@
     return b"".join(clientwire.frame(7, stream, clientwire.write_fields(fields)))
 
 
+def no_room(pressing):
+    """Nobody can be ended to make room."""
+    return False
+
+
 class Heard:
     """A receiver that keeps what came."""
 
@@ -156,7 +163,7 @@
         if by == "sweep":
             client.look(now + 10**6)
         else:
-            client.since, client.asked = now - 10**6, True
+            client.since, client.use = now - 10**6, Use.REQUESTS
             assert director.make_room(True)
         assert client.phase is Phase.ANNOUNCED
         peer.sendall(request(1))
@@ -365,7 +372,7 @@
             tasks.start_soon(driver.accept, listener, Heard, lambda pressing: False)
             await anyio.wait_all_tasks_blocked()
             peers = [socket.create_connection(at) for _ in range(3)]  # no turn for accept
-            await driver.close_listener(listener, lambda: heard.append(Heard()) or heard[-1], 5.0)
+            await driver.close_listener(listener, lambda: heard.append(Heard()) or heard[-1], no_room, 5.0)
             assert len(heard) == 3 and all(each.link.is_up for each in heard)
             with pytest.raises(ConnectionRefusedError):
                 socket.create_connection(at)
@@ -445,6 +452,105 @@
     assert len(node.wanted) == 1
 
 
+class BusyPoll:
+    """The event loop has just looked at its sockets."""
+
+    @property
+    def since(self):
+        return time.monotonic()
+
+
+@pytest.mark.parametrize("where", ["backlog", "failing recv"])
+def test_a_request_that_waited_unread_has_that_much_less_time(where, monkeypatch):
+    """It waited to be accepted, or could not be read: its client has counted on."""
+    script = Scripted(ReqCame=[lambda now: [face.Deny(TRACE, 0)]])
+
+    async def scene(director, _, until):
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.create_connection(listener.getsockname())
+        client = Client(director)
+        director.driver.poll = BusyPoll()
+        if where == "backlog":
+            peer.sendall(request(1))
+            director.driver.backlog_empty_at = time.monotonic() - 0.5
+            await anyio.sleep(0.3)  # the event loop has its turns, and the backlog is not looked at
+        director.driver.take(listener.accept()[0], client)
+        if where == "failing recv":
+            plain, failing_until = director.driver.caller.receive, time.monotonic() + 0.3
+            short = lambda *args: (0, Remedy.PAUSE) if time.monotonic() < failing_until else plain(*args)  # noqa: E731
+            monkeypatch.setattr(director.driver.caller, "receive", short)
+            peer.sendall(request(1))
+        await until(lambda: script.got(face.ReqCame))
+        assert client.link.unread_since is None or where == "backlog"
+
+    play(script, scene)
+    (came_,) = script.got(face.ReqCame)
+    assert 9000 * 10 - 4000 < came_.left <= 9000 * 10 - 2000  # 0.3 s, less the 50 ms that are allowed
+
+
+def test_room_is_made_for_new_connections_while_the_program_ends():
+    """Clients that rest hold all descriptors: they have been told of the end, and can go for others."""
+
+    async def scene(director, _, until):
+        listener = listen(Address("127.0.0.1", 0))
+        resting = []
+        for _ in range(4):
+            peer = socket.create_connection(listener.getsockname())
+            client = Client(director)
+            director.driver.take(listener.accept()[0], client)
+            client.use, client.since = Use.ASKED, client.since - SECOND
+            resting.append(peer)
+        director.leave(5 * SECOND)
+        director.driver.most = director.driver.open
+        late = socket.create_connection(listener.getsockname())
+        late.sendall(request(1))
+        await director.driver.close_listener(listener, lambda: Client(director), director.make_room, 3.0)
+        late.setblocking(False)
+        with anyio.fail_after(PATIENCE):
+            await anyio.wait_readable(late)
+        assert late.recv(1000)
+
+    play(Scripted(ReqCame=[lambda now: [face.Deny(TRACE, 0)]]), scene)
+
+
+def test_an_attempt_does_not_begin_for_a_client_whose_end_was_not_read_yet():
+    """The request and the end of its connection are found together; the connection to the node is up."""
+    node, other = FakeNode(holds_all=True), TRACE[::-1]
+    script = Scripted(ReqCame=[ask(name=other), ask()])
+
+    async def scene(director, first, until):
+        director.take(first, came(1, trace=other))
+        director.driver.flush()
+        await until(lambda: script.got(face.Outcome))
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.create_connection(listener.getsockname())
+        director.driver.take(listener.accept()[0], Client(director))
+        peer.sendall(request(1))
+        peer.shutdown(socket.SHUT_RDWR)
+        await until(lambda: len(script.got(face.Outcome)) == 2)
+
+    play(script, scene, (node, node))
+    assert [end.result for end in script.got(face.Outcome)] == ["done", "unsent"] and node.wanted == {other}
+
+
+def test_the_time_an_attempt_names_is_what_is_left_when_it_is_written():
+    """It waited for its connection for a while."""
+    node = FakeNode(holds_all=True)
+    script = Scripted(ReqCame=[lambda now: [face.Ask(TRACE, "s-00000001", now + 20000)]])
+
+    async def scene(director, client, until):
+        director.take(client, came(1))
+        (link,) = director.nodes["s-00000001"].links
+        pump, link.link.pump = link.link.pump, lambda: None
+        await anyio.sleep(0.3)
+        link.link.pump = pump
+        pump()
+        await until(lambda: script.got(face.Outcome))
+
+    play(script, scene, (node, node))
+    assert 1500 < int(node.next()[2]["ms"]) <= 1700
+
+
 def test_a_repeat_that_waits_past_the_window_is_never_sent():
     """Guards 'no effect twice': repeats are dropped for a while, and the connection comes up after that."""
     late = lambda now: [face.Ask(TRACE, "s-00000001", now + 90000, now + 200)]  # noqa: E731
@@ -526,7 +632,7 @@
     async def run():
         async with anyio.create_task_group() as tasks:
             one, heard = Driver(tasks, Limits(0, 0), Poll()), Heard()
-            await one.close_listener(Backlog(), lambda: heard, 5.0)
+            await one.close_listener(Backlog(), lambda: heard, no_room, 5.0)
             assert heard.link is not None and not Backlog.found
             tasks.cancel_scope.cancel()
 
