Disk tier: purges outlive failed writes, and a failed sync is never taken for a later good one

Cause: a batch that could not be written (ENOSPC, EIO) was dropped whole, purges too, while later words that all purges are known still went out; after a restart the purged copy was served. A failed fdatasync was simply made again on the same descriptor, though fsync(2) says that a later one tells nothing of what was lost.

Change: what says that copies are void is queued again ahead of all else; nothing new is claimed while the disk is full; after a failed sync the segment takes nothing more and each known purge is said again in the next one. The lab's disk forgets like Linux.

--- a/ironhinge/disk/store.py
+++ b/ironhinge/disk/store.py
@@ -266,15 +266,14 @@
         sync."""
         with self.lock:
             self._note_purge(obj, group if obj is None else None, at)
-            kind = PURGE_GROUP if obj is None else PURGE_OBJECT
-            self.generation += 1
-            pieces = pack_record(kind, obj or 0, 0, group, at, self.generation)
-            self._enqueue(pieces, None)
+            self._say_purge(PURGE_GROUP if obj is None else PURGE_OBJECT, obj or 0, group, at)
 
     def still_hears(self, at: int) -> None:
-        """All purges up to then are known."""
+        """All purges up to then are known. Not said while the disk is full: saying less is safe."""
         with self.lock:
-            if at > self.heard:
+            if at > self.heard and self.full:
+                self.heard = at
+            elif at > self.heard:
                 self.heard = at
                 self.generation += 1
                 self._enqueue(pack_record(HEARD, 0, 0, 0, at, self.generation), None)
@@ -400,8 +399,18 @@
                 self.count("writes_failed")
                 self.full = True
                 self._abandon()
+                self._owe_words(batch)
                 return done
 
+    def _owe_words(self, batch: List[Tuple[Tuple[bytes, ...], Optional[Entry]]]) -> None:
+        """Guards 'purges kept' where a write fails: copies are let go of, but what says that older copies are
+        void is written again before anything that comes later; else a later word that all purges up to then
+        are known would be on disk without them, and a restart would serve them."""
+        words = [(record, None) for record, entry in batch if entry is None]
+        with self.lock:
+            self.queue[:0] = words
+            self.queued += sum(sum(map(len, record)) for record, _ in words)
+
     def _batches(self, batch: List[Tuple[Tuple[bytes, ...], Optional[Entry]]]) -> Iterator[Tuple[int, int]]:
         """Runs that go into one segment; begins a new one where the next record does not fit."""
         start = 0
@@ -480,9 +489,30 @@
         """What was flushed is durable after this."""
         with self.write_lock:
             if self.fd >= 0 and self.unsynced:
-                self.files.sync(self.fd)
+                try:
+                    self.files.sync(self.fd)
+                except OSError:
+                    self._distrust_segment()
+                    raise
                 self.unsynced = False
 
+    def _distrust_segment(self) -> None:
+        """After a failed sync nobody knows what of the segment is durable, and a later sync that goes well
+        says nothing of it (fsync(2)): it takes nothing more, and every purge that is known is said again in
+        the next one."""
+        self.count("syncs_failed")
+        self.files.close(self.fd)
+        self.fd, self.unsynced = -1, False
+        with self.lock:
+            for obj, at in self.objects.items():
+                self._say_purge(PURGE_OBJECT, obj, 0, at)
+            for group, at in self.groups.items():
+                self._say_purge(PURGE_GROUP, 0, group, at)
+
+    def _say_purge(self, kind: int, obj: int, group: int, at: int) -> None:
+        self.generation += 1
+        self._enqueue(pack_record(kind, obj, 0, group, at, self.generation), None)
+
     # Room, compaction, checkpoints
 
     def used(self) -> int:
--- a/ironhinge/lab/disks.py
+++ b/ironhinge/lab/disks.py
@@ -23,6 +23,7 @@
         self.cut_at: Optional[int] = None  # the power goes at that call
         self.room: Optional[int] = None  # bytes that the disk takes
         self.error: Optional[int] = None  # every write fails with it
+        self.sync_error: Optional[int] = None  # every sync fails with it
 
 
 class File:
@@ -32,6 +33,7 @@
         self.data = bytearray()
         self.safe = b""
         self.linked = False  # its name survives
+        self.forgotten = 0  # bytes up to which a failed sync has taken what was not durable for written
 
 
 class MemoryFiles(Files):
@@ -108,8 +110,24 @@
             raise OSError(errno.ENOSPC, "no space left")
 
     def sync(self, fd: int) -> None:
+        """A failed one forgets what it could not write, as Linux does: a later one that goes well brings only
+        what was written after it."""
         self._call()
-        self.fds[fd].safe = bytes(self.fds[fd].data)
+        file = self.fds[fd]
+        if self.faults.sync_error is not None:
+            file.forgotten = len(file.data)
+            raise OSError(self.faults.sync_error, "as told")
+        lost = bytes(max(0, file.forgotten - len(file.safe)))
+        file.safe = file.safe + lost + bytes(file.data[len(file.safe) + len(lost) :])
+
+    def what_is_durable(self) -> "MemoryFiles":
+        """What the next start finds when nothing else survives."""
+        found = MemoryFiles(Faults())
+        for name, file in self.safe_names.items():
+            kept = File()
+            kept.data, kept.safe, kept.linked = bytearray(file.safe), bytes(file.safe), True
+            found.files[name] = found.safe_names[name] = kept
+        return found
 
     def sync_file(self, name: str) -> None:
         self._call()
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -23,6 +23,7 @@
     from .driver import Driver
 
 READS = 8  # reads of one connection before the others have their turn
+LOOKS = 4  # reads for one who has to know now: a read may be short, or fail for a moment
 FINISHING = 0.01  # seconds between reads of what nobody will look at
 
 NO_RING = Ring(0)
@@ -327,8 +328,11 @@
 
     def read_now(self) -> None:
         """Reads what has come, outside the turn of the reading task: for who has to know now."""
-        if self.sock is not None and self.is_up and not (self.is_over or self.finishing or self.receiving):
-            self._read_once()
+        for _ in range(LOOKS):
+            if self.sock is None or not self.is_up or self.is_over or self.finishing or self.receiving:
+                return
+            if self._read_once()[1] is Remedy.WAIT:
+                return
 
     def _read_once(self) -> tuple[int, Remedy]:
         """Hands on what has come; ends the link where the peer has."""
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -332,6 +332,45 @@
     assert store.checkpoint() == 0
 
 
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
+def test_a_purge_that_could_not_be_written_is_written_once_there_is_room(error):
+    """Guards purges: else a later word that all purges are known would stand on disk without it, and a
+    restart would serve the copy."""
+    store, now = filled()
+    store.sync()
+    store.files.faults.error = error
+    now.ms += 10
+    store.purge(2, 2, now.ms)
+    store.flush()
+    assert store.full
+    store.files.faults.error = None
+    store.full = False
+    now.ms += 10
+    store.still_hears(now.ms)
+    store.flush()
+    store.sync()
+    assert open_(store.files.what_is_durable(), now).get(2, 0) is None
+
+
+def test_a_failed_sync_is_not_taken_for_a_later_good_one():
+    """What it could not write is gone, and the next sync of the same file says nothing of it: fsync(2)."""
+    store, now = filled()
+    store.sync()
+    now.ms += 10
+    store.purge(2, 2, now.ms)
+    store.flush()
+    store.files.faults.sync_error = errno.EIO
+    with pytest.raises(OSError):
+        store.sync()
+    store.files.faults.sync_error = None
+    now.ms += 10
+    store.still_hears(now.ms)
+    store.flush()
+    store.sync()
+    assert store.counts["syncs_failed"] == 1
+    assert open_(store.files.what_is_durable(), now).get(2, 0) is None
+
+
 def test_a_flipped_bit_is_a_miss_and_counted_once():
     store, now = filled()
     entry = store.find(3, 0)
