A request looks at the few caches it needs, in the same order, with the same decisions

Change: caches that owe an answer or may be cold are looked at with each request, since looking changes what is known of them; all others one by one in hash order until one fits. The first eight of an object's order are remembered until the list changes.

--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -24,8 +24,9 @@
 
 from bisect import bisect_left, bisect_right, insort
 from hashlib import blake2b
+from heapq import nlargest
 from math import log2
-from typing import Dict, List, Optional, Tuple
+from typing import Dict, Iterator, List, Optional, Tuple
 
 from . import interface as face
 
@@ -52,6 +53,7 @@
 COLD_MARGIN = 0.75  # part of a cold node's budget that we dare use: its capacity is judged, not told
 CARRY = 100_000  # time over which the work that a node carries is averaged
 MEAN_WEIGHT = 20  # reqs that the first guess of a vhost's mean sending time weighs
+ORDER_KEPT = 8  # caches of an object's hash order that are remembered; rarely is one further on asked
 ROOM = 1.5  # a dispatch may take this many times its sending time before its time-out may come
 MASK = (1 << 64) - 1
 
@@ -68,6 +70,17 @@
     return x ^ (x >> 31)
 
 
+def mix_all(a: int, many: List[int]) -> List[int]:
+    """`mix` of one number with each of many, without a call for each."""
+    base, out = a * 0x9E3779B97F4A7C15, []
+    for b in many:
+        x = (base + b) & MASK
+        x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+        x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & MASK
+        out.append(x ^ (x >> 31))
+    return out
+
+
 class Chance:
     """A linear congruential generator; the high bits are used."""
 
@@ -126,6 +139,8 @@
 class Flow:
     """What is under way somewhere, and how fast things were seen to go there."""
 
+    is_cache_here = False  # a ready cache of this router's location: on the walk of each req
+
     def __init__(self):
         self.out: Dict[str, Req] = {}  # reqs with a dispatch out that takes this way
         self.took, self.work, self.pace_at = 0.0, 0.0, 0  # time that sending took lately, and full-pace time
@@ -216,6 +231,9 @@
         self.longest = max([vhost.timeout for vhost in facts.vhosts], default=10_000)
         self.nodes: Dict[str, Node] = {}
         self.caches: List[Node] = []
+        self.cache_salts: List[int] = []  # of the same, in the same order
+        self.orders: Dict[int, List[Node]] = {}  # the first caches of an object's hash order; oldest first
+        self.may_be_cold: Dict[Node, None] = {}  # caches that started or were lost not long ago
         self.parents: List[Node] = []
         self.origin: Optional[Node] = None
         self.inlet = Flow()  # the location's link in, which all fills share
@@ -297,7 +315,16 @@
         self.parents = [node for node in ready if node.row.kind == facts.parent_kind]
         self.origin = next((node for node in ready if node.row.kind == facts.origin_kind), None)
         behind = (facts.parent_kind, facts.origin_kind)
+        for node in self.caches:
+            node.is_cache_here = False
         self.caches = [each for each in ready if each.row.zone == facts.zone and each.row.kind not in behind]
+        for node in self.caches:
+            node.is_cache_here = True
+            if node.row.started or node.lost_at:
+                self.may_be_cold[node] = None
+        self.cache_salts = [node.salt for node in self.caches]
+        self.orders.clear()
+        self.may_be_cold = {node: None for node in self.may_be_cold if node.is_cache_here}
 
     # Purges
 
@@ -372,32 +399,78 @@
         facts = self.facts
         if req.dispatches >= facts.max_dispatches or self.now + max(req.work, 2 * facts.tick) >= req.left_at:
             return self.give_up(req)
-        order = sorted(self.caches, key=lambda node: mix(req.salt, node.salt), reverse=True)
-        able = [node for node in order if self.allowed(req, node)]
-        fit = [node for node in able if node not in req.failed and self.fit(req, node)]
+        known = self.look_at_those_that_change(req)
         source = self.fill_source(req)
-        if req.cacheable and len(req.asked) < K:
-            for node in fit:
-                if node in req.asked:
-                    continue
-                if node not in req.ranks:
-                    above = node.table.count(req.key, req.size, self.now)
-                    rank = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1
-                    if not req.lately:  # a first sighting is no rate yet; short tables rank all of them high
-                        rank = 1 if rank > 1 else 0
-                    req.ranks[node] = rank
-                rank = req.ranks[node]
-                return self.dispatch(req, node, source if rank and source is not None else node, rank)
-        if fit and source is not None:
-            return self.dispatch(req, fit[0], source, 0)
+        first, unasked = self.first_fit(req, known)
+        if req.cacheable and len(req.asked) < K and unasked is not None:
+            rank = self.rank(req, unasked)
+            return self.dispatch(req, unasked, source if rank and source is not None else unasked, rank)
+        if first is not None and source is not None:
+            return self.dispatch(req, first, source, 0)
         if facts.bypass and source is not None and self.allowed(req, source):
             return self.dispatch(req, source, source, 0)
+        able = [node for node in self.hash_order(req) if self.allowed(req, node)]
         rest = [node for node in able if self.now >= node.full_until and self.has_room(req, node)]
         if rest and source is not None:
             best = min(rest, key=lambda node: (req.failed.count(node), node.benched_until))
             return self.dispatch(req, best, source, 0)
         self.give_up(req)
 
+    def rank(self, req: Req, node: Node) -> int:
+        """The rank at which a cache keeps the object; counted once a req."""
+        if node not in req.ranks:
+            above = node.table.count(req.key, req.size, self.now)
+            rank = 3 if above < HIGH else 2 if above < HIGH + MIDDLE else 1
+            if not req.lately:  # a first sighting is no rate yet; short tables rank all of them high
+                rank = 1 if rank > 1 else 0
+            req.ranks[node] = rank
+        return req.ranks[node]
+
+    def hash_order(self, req: Req) -> Iterator[Node]:
+        """All caches in the object's hash order. The first of it are remembered until the list changes: the
+        order of thousands costs milliseconds."""
+        first = self.orders.pop(req.salt, None)
+        hashes: List[int] = []
+        if first is None:
+            hashes = mix_all(req.salt, self.cache_salts)
+            places = nlargest(ORDER_KEPT, range(len(hashes)), key=hashes.__getitem__)
+            first = [self.caches[place] for place in places]
+            if len(self.orders) >= TABLE:
+                del self.orders[next(iter(self.orders))]
+        self.orders[req.salt] = first
+        yield from first
+        if len(first) < len(self.caches):
+            hashes = hashes or mix_all(req.salt, self.cache_salts)
+            places = sorted(range(len(hashes)), key=hashes.__getitem__, reverse=True)
+            yield from [self.caches[place] for place in places[len(first) :]]
+
+    def look_at_those_that_change(self, req: Req) -> Dict[Node, bool]:
+        """Whether each cache fits of which asking that changes what is known: those that owe an answer, and
+        those that may be cold. All others can be asked one by one until one fits."""
+        busy = [each.node for each in self.reqs.values() if each.node is not None]
+        some = dict.fromkeys([*busy, *self.may_be_cold])
+        here = [node for node in some if node.is_cache_here and self.allowed(req, node)]
+        known = {}
+        for node in sorted(here, key=lambda node: mix(req.salt, node.salt), reverse=True):
+            if node not in req.failed:
+                known[node] = self.fit(req, node)
+                if not self.is_cold(node):
+                    self.may_be_cold.pop(node, None)
+        return known
+
+    def first_fit(self, req: Req, known: Dict[Node, bool]) -> Tuple[Optional[Node], Optional[Node]]:
+        """The first cache in the hash order that fits, and the first of those that the req has not asked."""
+        first = None
+        for node in self.hash_order(req):
+            if node in req.failed or not self.allowed(req, node):
+                continue
+            if not (known[node] if node in known else self.fit(req, node)):
+                continue
+            first = first or node
+            if node not in req.asked:
+                return first, node
+        return first, None
+
     def fill_source(self, req: Req) -> Optional[Node]:
         """A hash order of the object over all listed parents, the origin when none of them will do; none
         when the link in that all fills share is crowded, since moving on would not help."""
@@ -556,7 +629,7 @@
         if result != "timeout":
             node.answered_at = self.now
         if result == "unconnected":
-            culprit.lost_at = self.now
+            self.lost(culprit)
         for each in suspects:
             each.bad += LATELY * (1 - each.bad)
         self.bench(culprit, result == "unconnected")
@@ -583,10 +656,16 @@
             overdue = self.now > req.sent_at + SILENT * req.work + req.vhost.facts.target
             asked = req.node
             if overdue and asked and (node is asked or asked.answered_at > req.sent_at):
-                node.lost_at = self.now
+                self.lost(node)
                 return True
         return False
 
+    def lost(self, node: Node) -> None:
+        """It showed no life: it may come back cold before the list says so."""
+        node.lost_at = self.now
+        if node.is_cache_here:
+            self.may_be_cold[node] = None
+
     def fit(self, req: Req, node: Node) -> bool:
         if self.now < max(node.benched_until, node.full_until) or node.bench and node.out:
             return False
@@ -602,7 +681,7 @@
         pace = way.pace(self.now, self.memory, self.prior)
         if self.now + req.work > req.target_at:
             return pace < CROWDED
-        growth = GROWTH if way in self.caches else 1.0
+        growth = GROWTH if way.is_cache_here else 1.0
         return self.now + growth * pace * req.work <= req.target_at
 
     # Cold nodes
--- a/ironhinge/lab/soak/run.py
+++ b/ironhinge/lab/soak/run.py
@@ -48,6 +48,7 @@
         self.process: Optional[asyncio.subprocess.Process] = None
         self.record: Optional[DirectorLife] = None
         self.accepting = False
+        self.told_port = 0  # where discovery was when its configuration was written
         self.watch: Optional[asyncio.Task] = None
 
     @property
@@ -61,6 +62,7 @@
 
     def write_config(self) -> None:
         """As the platform would at this moment."""
+        self.told_port = self.run.discoveries[self.number].port
         self.config.write_text(json.dumps(self.run.configuration(self)))
 
     async def start(self) -> None:
@@ -91,6 +93,9 @@
             if await is_ready(self.port, 2.0):
                 record.ready_at = time.monotonic()
                 self.accepting = True
+                if self.told_port != self.run.discoveries[self.number].port:  # it moved meanwhile
+                    self.write_config()
+                    self.send(signal.SIGHUP)
                 return
             await asyncio.sleep(0.03)
 
@@ -98,6 +103,7 @@
         record.exit_code = await process.wait()
         record.exited_at = time.monotonic()
         self.accepting = False
+        self.run.discoveries[self.number].forget()
 
     def send(self, number: signal.Signals) -> None:
         """A signal, if the process lives."""
--- a/ironhinge/lab/soak/servers.py
+++ b/ironhinge/lab/soak/servers.py
@@ -243,6 +243,10 @@
         if self.server is not None:
             self.server.close()
             self.server = None
+        self.forget()
+
+    def forget(self) -> None:
+        """Resets its connections: nothing is told on them any more."""
         for writer in list(self.writers):
             reset(writer)
         self.writers.clear()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ironhinge import interface as face
+from ironhinge.brain import Router
 
 from .helpers import CACHES, deployment, outcome, req, router, row
 
@@ -274,3 +275,24 @@
     one.step(20010, outcome(act, "timeout", took=20000))
     paces = [each.pace(20010, one.memory, one.prior) for each in (cache, source)]
     assert paces[0] == 1.0 < paces[1]
+
+
+def test_a_request_looks_at_few_caches_however_many_there_are(monkeypatch):
+    """Guards the CPU of large fleets: those that owe an answer or may be cold, and the first that fit."""
+    one = router(deployment(weights="nominal"), [*(f"c{2 * i}" for i in range(2000)), "p0", "p1", "o"])
+    looked, plain = [], Router.fit
+    monkeypatch.setattr(Router, "fit", lambda self, req, node: looked.append(node) or plain(self, req, node))
+    acts = [one.step(1000 + i, req(f"r{i}", obj=i)) for i in range(20)]
+    assert all(len(each) == 1 for each in acts)
+    assert len(looked) < 20 * 25
+
+
+def test_a_node_that_is_not_asked_for_turns_cold_and_warm_all_the_same():
+    """What changes by being looked at is looked at with each request, wherever it stands in the order."""
+    one = router(names=(*CACHES, "p0", "o"))
+    one.step(1000, face.Listed(False, (row("c2", started=1000),)))
+    node = one.nodes["c2"]
+    one.step(1001, req("a"))
+    assert node.room is not None and node in one.may_be_cold
+    one.step(1000 + one.facts.cold + 1, req("b"))
+    assert node.room is None and node not in one.may_be_cold
