--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -18,7 +18,8 @@
 from .links import Link
 
 if TYPE_CHECKING:
-    from .director import Director, OpenReq
+    from .director import Director
+    from .open_request import OpenRequest
 
 STREAMS = 32  # open requests that a client's connection carries, says the protocol
 STALLED = 1200 * MILLISECOND  # a client that has sent no frame, or no more of one that it began, never will:
@@ -72,7 +73,7 @@
         director.clients_seen += 1
         self.number = director.clients_seen
         self.wire = clientwire.ClientWire()
-        self.open: Dict[int, OpenReq] = {}  # by stream
+        self.open: Dict[int, OpenRequest] = {}  # by stream
         self.link: Link
         self.phase = Phase.OPEN
         self.cause: Optional[CloseCause] = None
@@ -132,7 +133,7 @@
         for frame in [each for each in self.link.pending if each.mark == stream]:
             self.link.drop(frame)  # an answer that waits to be written
 
-    def answer(self, req: OpenReq, code: int, fields: Dict[str, str], body: bytes) -> None:
+    def answer(self, req: OpenRequest, code: int, fields: Dict[str, str], body: bytes) -> None:
         """The final answer of a request."""
         self.open.pop(req.stream, None)
         self._waits()
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -8,10 +8,9 @@
 from __future__ import annotations
 
 import resource
-import socket
 from collections import Counter, deque
 from heapq import heappop, heappush
-from typing import Any, Callable, Deque, Dict, List, Optional, Protocol, Set, Tuple, Union
+from typing import Any, Callable, Deque, Dict, List, Optional, Set, Tuple, Union
 
 import anyio
 from anyio import lowlevel
@@ -19,97 +18,34 @@
 
 from .. import interface as face
 from ..brain import Router
-from ..facts import Assignment, ListNews, PurgeNews, load_report
+from ..facts import Assignment, load_report
 from . import clientwire, nodewire
 from .client_connection import HURRIED_STALLED, UNASKED_NOTICE, Client, CloseCause, Use
 from .clock import MILLISECOND as MS
 from .clock import SECOND, Clock
+from .discovery import Discovery
 from .driver import Driver
 from .ending import RESULTS, Ending
 from .event_log import EventKind, EventLog
+from .extensions import CopyStore, TrafficAccount
 from .links import Link
-from .parties import Dispatch, Errand, FeedLink, Node
-from .system_calls import Backoff, Call, Remedy
+from .open_request import OpenRequest, read_request
+from .parties import Dispatch, Errand, Node
+from .peers import Peers
+from .system_calls import Call, Remedy
 
 PULSE = 50 * MS  # how often lateness is measured
 SWEEP = 2  # pulses between two looks for connections to let go
 REPORT = 1200  # pulses between two lines of counters
-FEED_SILENCE = 2 * SECOND  # the coordinator writes each second; its news count as told 4 s after a stop
-FEED_LOOK = SECOND // 4  # how often that is looked at
-FEED_AGAIN, FEED_AGAIN_MOST = 0.05, 0.4  # seconds before the coordinator is called again; its news count as
-# told 2 s after a break
 SLACK = 50 * MS  # each limit of the protocol is longer by this
 LAG_FADES = 97  # per cent of the lateness seen that is still reckoned with a pulse later
 SETTLED = 150 * MS  # a client's connection is not closed for others' sake before it has waited that long; and
 PRESSED = 100 * MS  # or that long, where no descriptor is left; and
 AT_PEACE = SECOND  # one on which something was asked not before that, while there is any room at all; nor is
 # one to a node
-GROUPS = 256  # of objects, says the protocol
 PASSED_ON = {"part": "seg", "nonce": "token"}  # a client's field, where it has one, and the command's; the
 # nonce is the mark by which nodes know a repeat
 DELIVERED = Ending.SERVED, Ending.SAME  # nothing follows these
-DATAGRAM = 512  # bytes read of one; the protocol has 256 at most
-LINGER = SECOND  # what a client has left unread is given up after that
-
-
-class Books(face.Purse, Protocol):
-    """What keeps the account of crossings, as the director sees it."""
-
-    def listed(self, now: int, what: face.Listed) -> None: ...
-
-    def sent(self, now: int, came: face.ReqCame, node: str, source: str, how: Dict[str, str]) -> None: ...
-
-    def ended(
-        self,
-        now: int,
-        came: face.ReqCame,
-        result: str,
-        note: int,
-        body: Optional[int],
-        took: int,
-        gone: bool,
-    ) -> None: ...
-
-    def heard(self, now: int, sender: int, data: bytes) -> bool: ...
-
-
-class Copies(face.Shelf, Protocol):
-    """What holds copies of our own, as the director sees it."""
-
-    async def read(self, came: face.ReqCame) -> Any: ...
-
-    def keep(self, came: face.ReqCame, tag: str, dated: int, body: bytes) -> None: ...
-
-    def purge(self, obj: Optional[int], group: int, unix_ms: int) -> None: ...
-
-    def hears(self, unix_ms: int) -> None: ...
-
-
-class OpenReq:
-    """From its last byte to its one final answer, and on until its dispatch has ended."""
-
-    __slots__ = (
-        "came",
-        "id",
-        "client",
-        "stream",
-        "fields",
-        "body",
-        "wanted_until",
-        "closed",
-        "gone",
-        "dispatches",
-        "out",
-    )
-
-    def __init__(self, came: face.ReqCame, client: Client, message: clientwire.Came, now: int):
-        self.came, self.id, self.client = came, came.id, client
-        self.stream, self.fields, self.body = message.stream, message.fields, message.body
-        self.wanted_until = Clock.seconds(now + came.left + LINGER)  # by then its client has left for sure
-        self.closed = False  # answered, or its client has left
-        self.gone = False  # its client has left
-        self.dispatches = 0
-        self.out: Optional[Dispatch] = None
 
 
 class Director:
@@ -117,8 +53,8 @@
         self,
         told: Assignment,
         driver: Driver,
-        books: Optional[Books] = None,
-        shelf: Optional[Copies] = None,
+        books: Optional[TrafficAccount] = None,
+        shelf: Optional[CopyStore] = None,
         clock: Optional[Clock] = None,
     ):
         self.told, self.driver, self.clock = told, driver, clock or Clock()
@@ -132,21 +68,19 @@
         self.at_hand: Dict[
             str, Tuple[face.ReqCame, nodewire.Answer]
         ] = {}  # what came just now, while it may be kept
-        self.reqs: Dict[str, OpenReq] = {}
+        self.reqs: Dict[str, OpenRequest] = {}
         self.clients: Dict[Client, None] = {}  # the one that was heard of longest ago first
         self.nodes: Dict[str, Node] = {}
-        self.number = 0  # of the last event of the coordinator
         self.queue: Deque[face.Happening] = deque()
         self.stepping = False
         self.leave_at: Optional[int] = None  # by then all is answered
         self.no_more_at: Optional[int] = None  # reqs read after that are not taken
-        self.feed: Optional[FeedLink] = None
-        self.caught_up_at = self.clock.now()  # all that the coordinator had to tell by then is known
+        self.discovery = Discovery(self)
+        self.peers = Peers(self)
         self.lag = 0  # the most that it was late, fading
         self.timers: List[Tuple[int, int, Union[str, Errand]]] = []
         self.set_timers = 0
         self.earlier = anyio.Event()  # a timer is due earlier than all others
-        self.peers: Optional[socket.socket] = None
         self.probes = 0
         self.counts: Counter[str] = Counter()
         self.complained: Set[str] = set()
@@ -164,7 +98,7 @@
             face.Watch: self._nothing,
             face.Snapshot: self._nothing,
             face.Probe: self._probe,
-            face.Say: self._say,
+            face.Say: self.peers.say,
             face.Log: self._log,
         }
 
@@ -172,8 +106,8 @@
         """All that is known goes to the module before any client does."""
         self.happen(face.Started())
         for news in self.told.known:
-            self.learn(news)
-        self.number = max(self.number, self.told.known_number)
+            self.discovery.learn(news)
+        self.discovery.number = max(self.discovery.number, self.told.known_number)
 
     def happen(self, what: face.Happening) -> None:
         """Tells the module, in order, and carries out what it answers. A fault of the module costs the req at
@@ -209,7 +143,11 @@
         try:
             if isinstance(message, clientwire.Unreadable):
                 raise ValueError(message.text)
-            came = self._came(message.fields, client)
+            margin = self.margin(client.link)
+            told = self.told
+            came = read_request(message.fields, told.names, told.deployment, client.number, margin)
+            if came.id in self.reqs:
+                raise ValueError("field 'trace' names an open req")
         except ValueError as fault:
             self.complain("unreadable", f"a req can't be read: {fault}")
             text = str(fault).encode()
@@ -217,42 +155,12 @@
             return
         if self.leave_at is not None:
             came = came._replace(left=max(0, min(came.left, self.leave_at - now)))
-        req = OpenReq(came, client, message, now)
+        req = OpenRequest(came, client, message, now)
         client.open[req.stream] = self.reqs[req.id] = req
         self.counts["reqs"] += 1
         self.happen(came)
 
-    def _came(self, fields: Dict[str, str], client: Client) -> face.ReqCame:
-        name = clientwire.digits_of(fields, "trace")
-        if name in self.reqs:
-            raise ValueError("field 'trace' names an open req")
-        route = clientwire.text_of(fields, "route")
-        if route not in self.told.names.vhosts:
-            raise ValueError(f"field 'route' has the unknown name '{route[:60]}'")
-        vhost = self.told.names.vhosts.index(route)
-        facts = self.told.deployment.vhosts[vhost]
-        patience = int(clientwire.number_of(fields, "patience") * MS)
-        if patience > 2 * facts.timeout:  # usual clients go a little over it
-            raise ValueError("field 'patience' is far over the client timeout")
-        size = clientwire.number_of(fields, "size", 0.0)
-        pace = self.told.deployment.pace
-        if pace and size * SECOND > pace * facts.timeout:  # one such figure would spoil every mean
-            raise ValueError("field 'size' is more than can be sent within the client timeout")
-        clientwire.tag_of(fields, "have")
-        return face.ReqCame(
-            id=name,
-            obj=int(clientwire.digits_of(fields, "entity"), 16),
-            part=clientwire.count_of(fields, "part"),
-            group=clientwire.count_of(fields, "group", GROUPS - 1),
-            size=size,
-            left=max(0, patience - self.margin(client.link)),
-            vhost=vhost,
-            repeat=fields.get("redo") == "1",
-            write=facts.writes,
-            viewer=client.number,
-        )
-
-    def left(self, req: OpenReq) -> None:
+    def left(self, req: OpenRequest) -> None:
         """Its client has gone: nothing more is owed."""
         if req.closed:
             return
@@ -266,7 +174,7 @@
             self.end(req.out, Ending.UNWRITTEN)
         self._forget(req)
 
-    def abort(self, req: OpenReq) -> None:
+    def abort(self, req: OpenRequest) -> None:
         """Answers a req whose connection has to end; the module learns that nobody waits for it."""
         if not req.closed:
             self.left(req)
@@ -287,7 +195,7 @@
         req.client.answer(req, code, fields, body)
         self._forget(req)
 
-    def _forget(self, req: OpenReq) -> None:
+    def _forget(self, req: OpenRequest) -> None:
         if req.closed and req.out is None:
             self.reqs.pop(req.id, None)
 
@@ -391,7 +299,7 @@
         if not told and carrier is not None:
             carrier.link.end(Ending.BESIDE)  # gives up all that is on it, before anything else is written
 
-    def _take_back(self, wrong: Callable[[Dispatch], bool]) -> None:
+    def take_back(self, wrong: Callable[[Dispatch], bool]) -> None:
         """Guards drains and purges, which count a send from its first byte: dispatches that were waiting for
         a connection when the news came are never sent."""
         for req in list(self.reqs.values()):
@@ -452,7 +360,7 @@
         if req is not None:
             self.driver.tasks.start_soon(self._serve_copy, req)
 
-    async def _serve_copy(self, req: OpenReq) -> None:
+    async def _serve_copy(self, req: OpenRequest) -> None:
         """Our own copy, or word that it could not be had; either way the module hears of it once."""
         served = False
         try:
@@ -498,73 +406,9 @@
         command = (nodewire.busy(probe.name),)
         self._send(probe, probe.sent_at + self.told.transport.dial, lambda: command)
 
-    def _say(self, act: face.Say) -> None:
-        to = self.told.peers_all if act.peer is None else self.told.peers[act.peer]
-        if self.peers is not None and to is not None:
-            self.driver.caller.send_datagram(self.peers, act.data, to)
-
-    def tell_peers(self, data: bytes) -> None:
-        """To all of the tier at once, or to each where there is no address for all; nothing where the
-        settings do not allow it."""
-        told = self.told
-        if not told.deployment.peers:
-            return
-        if told.peers_all is not None:
-            return self._say(face.Say(None, data))
-        for place, peer in enumerate(told.peers):
-            if peer != told.peer_listen:
-                self._say(face.Say(place, data))
-
     def _log(self, act: face.Log) -> None:
         logger.info("module: {}", act.text)
 
-    # The coordinator's news
-
-    def learn(self, news: Any) -> None:
-        """An event of the coordinator; those that are known already are passed over."""
-        if self.shelf is not None:
-            self.shelf.hears(self.clock.unix_ms() - 1000)  # it writes in order, each second at least
-        if isinstance(news, PurgeNews) and news.number > self.number:
-            self.number = news.number
-            if self.shelf is not None:
-                self.shelf.purge(news.obj, news.group, news.unix_ms)
-            age = self.clock.age_of_event(news.unix_ms, self.caught_up_at)
-            self.happen(face.Purged(news.obj, news.group, age))
-            if news.obj is None:
-                self._take_back(lambda out: out.req.came.group == news.group)
-            else:
-                self._take_back(lambda out: out.req.came.obj == news.obj)
-        elif isinstance(news, ListNews) and news.number > self.number:
-            self.number = news.number
-            rows = self._learn_nodes(news)
-            if self.books is not None:
-                self.books.listed(self.clock.now(), face.Listed(news.whole, rows))
-            self.happen(face.Listed(news.whole, rows))
-            self._take_back(Dispatch.is_outdated)
-
-    def _learn_nodes(self, news: ListNews) -> Tuple[face.NodeRow, ...]:
-        rows = []
-        for row, address, started_unix in news.listings:
-            node = self.nodes.get(row.id)
-            if node is None:
-                node = self.nodes[row.id] = Node(row.id, address)
-            elif node.address != address or started_unix > node.started_unix:
-                node.retire()  # another process listens there now
-            if row.state != node.state:
-                logger.info("node {} is {}", row.id, row.state)
-            node.address, node.state = address, row.state
-            if started_unix > node.started_unix:  # once: told again it must not look like another restart
-                node.started_unix = started_unix
-                node.started = self.clock.start_of(started_unix, self.caught_up_at)
-            rows.append(row._replace(started=node.started if started_unix else 0))
-        here = {row.id for row in rows}
-        for node in self.nodes.values():
-            if news.whole and node.id not in here:
-                node.state = "gone"
-            if node.state == "gone":
-                node.retire()
-        return tuple(rows)
-
     # Time
 
     def _at(self, when: int, what: Union[str, Errand]) -> None:
@@ -679,71 +523,12 @@
             min(idle, key=lambda each: each.idle_at).link.end(Ending.CLOSED)
 
     def report(self) -> str:
-        counted = ", ".join(f"{name} {count}" for name, count in self.counts.items())
+        counts = {**self.counts, **self.events.counts}
+        counted = ", ".join(f"{name} {count}" for name, count in counts.items())
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
         open_now = f"{len(self.reqs)} reqs and {self.driver.open} connections open"
         return f"{counted}; {open_now}; lag {self.lag / MS} ms; at most {peak} MB"
 
-    async def follow(self) -> None:
-        """Keeps a connection to the coordinator, wherever it is by now."""
-        again = FEED_AGAIN
-        while True:
-            at = self.told.coordinator
-            if at is None:
-                await anyio.sleep(FEED_AGAIN_MOST)
-                continue
-            receiver = self.feed = FeedLink(self)
-            dial = self.clock.seconds(self.told.transport.dial)
-            receiver.link = self.driver.dial(receiver, at, dial, needed=True)
-            while not receiver.over.is_set():
-                with anyio.move_on_after(self.clock.seconds(FEED_LOOK)):
-                    await receiver.over.wait()
-                if self.clock.now() > receiver.heard_at + FEED_SILENCE:
-                    receiver.link.end(Ending.TIMED_OUT)
-            if self.told.coordinator == at:
-                logger.warning("coordinator: connection over, calling again")
-                again = FEED_AGAIN if receiver.heard else min(FEED_AGAIN_MOST, 2 * again)
-                await anyio.sleep(again)
-
-    def follow_anew(self, told: Assignment) -> None:
-        """What a new configuration changes while all else lives on: where the coordinator is. It is asked for
-        what follows the last event that we have."""
-        same = (
-            "seed",
-            "known",
-            "known_number",
-            "coordinator",
-        )  # what each file may say anew, and is followed
-        for name in Assignment._fields:
-            if name not in same and getattr(told, name) != getattr(self.told, name):
-                logger.warning("SIGHUP: '{}' has changed, which takes a restart", name)
-        if told.coordinator == self.told.coordinator:
-            return logger.info("SIGHUP: the coordinator is where it was")
-        if told.coordinator is not None:
-            logger.info("SIGHUP: the coordinator is at {}:{} from now on", *told.coordinator)
-        self.told = self.told._replace(coordinator=told.coordinator)
-        if self.feed is not None:
-            self.feed.link.end(Ending.CLOSED)
-
-    async def hear_peers(self) -> None:
-        """Hands on the datagrams of other directors."""
-        caller, backoff = self.driver.caller, Backoff()
-        while self.peers is not None:
-            data, sender, remedy = caller.receive_datagram(self.peers, DATAGRAM)
-            if sender is None:
-                if remedy is Remedy.WAIT:
-                    await caller.readable(self.peers)
-                else:
-                    await anyio.sleep(backoff.next())
-                continue
-            backoff.reset()
-            if sender in self.told.peers:
-                place = self.told.peers.index(sender)
-                if self.books is not None and self.books.heard(self.clock.now(), place, data):
-                    continue
-                self.happen(face.PeerSaid(place, data))
-                self.driver.flush()
-
     # The end
 
     def leave(self, left: int) -> None:
--- /dev/null
+++ b/ironhinge/net/extensions.py
@@ -0,0 +1,41 @@
+"""What operators may turn on beside the director, as the director sees it: an account of crossings between
+zones, and copies of its own on disk."""
+
+from __future__ import annotations
+
+from typing import Any, Dict, Optional, Protocol
+
+from .. import interface as face
+
+
+class TrafficAccount(face.Purse, Protocol):
+    """Keeps the account of crossings."""
+
+    def listed(self, now: int, what: face.Listed) -> None: ...
+
+    def sent(self, now: int, came: face.ReqCame, node: str, source: str, how: Dict[str, str]) -> None: ...
+
+    def ended(
+        self,
+        now: int,
+        came: face.ReqCame,
+        result: str,
+        note: int,
+        body: Optional[int],
+        took: int,
+        gone: bool,
+    ) -> None: ...
+
+    def heard(self, now: int, sender: int, data: bytes) -> bool: ...
+
+
+class CopyStore(face.Shelf, Protocol):
+    """Holds copies of our own."""
+
+    async def read(self, came: face.ReqCame) -> Any: ...
+
+    def keep(self, came: face.ReqCame, tag: str, dated: int, body: bytes) -> None: ...
+
+    def purge(self, obj: Optional[int], group: int, unix_ms: int) -> None: ...
+
+    def hears(self, unix_ms: int) -> None: ...
--- a/ironhinge/net/parties.py
+++ b/ironhinge/net/parties.py
@@ -17,7 +17,9 @@
 from .links import Frame, Link
 
 if TYPE_CHECKING:
-    from .director import Director, OpenReq
+    from .director import Director
+    from .discovery import Discovery
+    from .open_request import OpenRequest
 
 SECOND = 10_000  # tenths of a millisecond
 
@@ -42,7 +44,7 @@
 class Dispatch(Errand):
     __slots__ = ("req", "number", "source", "oldest")
 
-    def __init__(self, req: OpenReq, node: Node, source: Optional[Node], sent_at: int):
+    def __init__(self, req: OpenRequest, node: Node, source: Optional[Node], sent_at: int):
         super().__init__(req.id, node, sent_at)
         self.req, self.number, self.source = req, req.dispatches, source
         self.oldest = 0  # the Unix millisecond of the oldest copy that will do
@@ -187,8 +189,8 @@
 class FeedLink:
     """The connection to the coordinator."""
 
-    def __init__(self, director: Director):
-        self.director = director
+    def __init__(self, director: Director, discovery: Discovery):
+        self.director, self.discovery = director, discovery
         self.wire = feed.FeedWire()
         self.over = anyio.Event()
         self.heard = False
@@ -196,15 +198,15 @@
         self.link: Link
 
     def up(self, link: Link) -> None:
-        link.write((feed.hello(self.director.number),))
+        link.write((feed.hello(self.discovery.number),))
 
     def receive(self, link: Link, data: memoryview) -> None:
         news, fault = self.wire.feed(data)
         for one in news:
             self.heard, self.heard_at = True, self.director.clock.now()
-            self.director.learn(one)
+            self.discovery.learn(one)
             if isinstance(one, feed.Alive):  # nothing new: all that happened so far has been told
-                self.director.caught_up_at = self.heard_at
+                self.discovery.caught_up_at = self.heard_at
         if fault is not None:
             logger.warning("coordinator: can't read {}", fault)
             link.end(Ending.GARBLED)
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -110,7 +110,7 @@
         if books is not None:
             director.driver.tasks.start_soon(books.follow_files)
         try:
-            director.follow_anew(read_again())
+            director.discovery.follow_anew(read_again())
         except Exception as fault:  # whatever a file holds, it must not end the program
             logger.error("SIGHUP: {}; the old configuration holds", fault)
 
@@ -143,15 +143,15 @@
     driver = Driver(tasks, told.limits, poll)
     director = Director(told, driver, books, shelf, clock)
     if books is not None:
-        books.tell = director.tell_peers
+        books.tell = director.peers.tell_all
         tasks.start_soon(_keep, books.keep)
     if shelf is not None:
         tasks.start_soon(_keep, shelf.run)
     if told.peer_listen is not None:
-        director.peers = datagrams(told.peer_listen)
+        director.peers.sock = datagrams(told.peer_listen)
     director.start()
     listener = await _listen(told.listen)
-    for work in (director.keep_time, director.keep_watch, director.follow, director.hear_peers):
+    for work in (director.keep_time, director.keep_watch, director.discovery.follow, director.peers.hear):
         tasks.start_soon(_keep, work)
     tasks.start_soon(_keep, driver.accept, listener, lambda: Client(director), director.make_room)
     gc.collect()
--- a/ironhinge/net/system_calls.py
+++ b/ironhinge/net/system_calls.py
@@ -161,9 +161,14 @@
     return errno.errorcode.get(error, str(error))
 
 
+def spread(pause: float) -> float:
+    """A pause of half its length to all of it, by chance: many that wait for the same thing don't wake
+    together."""
+    return pause * (0.5 + random.random() / 2)
+
+
 class Backoff:
-    """The pauses between calls that fail one after another: doubling up to a bound, spread by chance so that
-    many that wait for the same thing don't wake together."""
+    """The pauses between calls that fail one after another: doubling up to a bound, and spread."""
 
     __slots__ = ("pause",)
 
@@ -178,4 +183,4 @@
         """Seconds to pause now."""
         pause = self.pause
         self.pause = min(LONGEST_PAUSE, 2 * pause)
-        return pause * (0.5 + random.random() / 2)
+        return spread(pause)
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -71,9 +71,9 @@
         async with anyio.create_task_group() as tasks:
             director = Director(told, Driver(tasks, told.limits, Poll()))
             director.router = script(told.deployment, told.seed) if isinstance(script, type) else script
-            director.peers = datagrams
+            director.peers.sock = datagrams
             director.start()
-            for work in (director.keep_time, director.keep_watch, director.hear_peers):
+            for work in (director.keep_time, director.keep_watch, director.peers.hear):
                 tasks.start_soon(work)
             client = Client(director)
             client.link = FakeWriter()
@@ -222,7 +222,7 @@
             which = {"ref": "7f3a9c21e0b4d655"} if news == "purge" else {"shard": 17}
             event = {"index": 2, "evict": {**which, "unix_ms": 5}}
         told = assignment(configuration([], updates=[event]))
-        director.learn(told.known[1])
+        director.discovery.learn(told.known[1])
         taken = [end.result for end in script.got(face.Outcome)]
         assert taken == ([] if news == "other" else ["unsent"]) and bool(waiting.link.pending) is (
             news == "other"
@@ -364,7 +364,7 @@
         for index in (2, 3):
             row = endpoint("s-00000001", "127.0.0.1:9", since_ms=1764576000123)
             event = {"index": index, "endpoints": {"endpoints": [row], "snapshot": False}}
-            director.learn(assignment(configuration([], updates=[event])).known[1])
+            director.discovery.learn(assignment(configuration([], updates=[event])).known[1])
             director.clock.from_unix = lambda unix_ms: 10**12
 
     _, first, second = (what.rows[0].started for what in play(script, scene).got(face.Listed))
@@ -390,7 +390,9 @@
     async def scene(director, client, until):
         for i in range(1000):
             new = endpoint(f"s-{i + 16:08x}", "127.0.0.1:9")
-            director.learn(listed(i + 2, new, endpoint(f"s-{i + 15:08x}", "127.0.0.1:9", status="DELETED")))
+            director.discovery.learn(
+                listed(i + 2, new, endpoint(f"s-{i + 15:08x}", "127.0.0.1:9", status="DELETED"))
+            )
             director.sweep()
         assert len(director.nodes) == len(router.nodes) == 3
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -327,8 +327,8 @@
 
     async def scene(director, client, until):
         director.driver.most = director.driver.open
-        director.driver.tasks.start_soon(director.follow)
-        await until(lambda: director.feed is not None and director.feed.link.is_up)
+        director.driver.tasks.start_soon(director.discovery.follow)
+        await until(lambda: director.discovery.feed is not None and director.discovery.feed.link.is_up)
 
     play(Scripted(), scene, coordinator=coordinator.address)
 
