--- a/ironhinge/brain.py
+++ b/ironhinge/brain.py
@@ -54,6 +54,8 @@
 CARRY = 100_000  # time over which the work that a node carries is averaged
 MEAN_WEIGHT = 20  # reqs that the first guess of a vhost's mean sending time weighs
 ORDER_KEPT = 8  # caches of an object's hash order that are remembered; rarely is one further on asked
+MOST_ADDED = 512  # caches that came before all orders are forgotten
+MERGED = 64  # caches that came since; with more of them the order is worked out anew
 ROOM = 1.5  # a dispatch may take this many times its sending time before its time-out may come
 MASK = (1 << 64) - 1
 
@@ -197,6 +199,27 @@
         return self.carry * 2 ** ((self.carry_at - now) / CARRY)
 
 
+class Order:
+    """The caches of an object's hash order whose hashes are not under a floor, in that order; some may have
+    left since."""
+
+    __slots__ = ("first", "floor", "seen")
+
+    def __init__(self, first: List[Node], floor: int, seen: int):
+        self.first, self.floor, self.seen = first, floor, seen  # `seen` of those added are in it
+
+    def merge(self, salt: int, added: List[Node]) -> None:
+        """Takes in those that were added since."""
+        new = [node for node in added[self.seen :] if node not in self.first]
+        new = [node for node in new if mix(salt, node.salt) >= self.floor]
+        if new:
+            here = [
+                node for node in {**dict.fromkeys(self.first), **dict.fromkeys(new)} if node.is_cache_here
+            ]
+            self.first = sorted(here, key=lambda node: mix(salt, node.salt), reverse=True)
+        self.seen = len(added)
+
+
 class Req:
     def __init__(self, came: face.ReqCame, vhost: VhostRow, now: int, work: int):
         self.came, self.unpaid = came, 0  # how long until a budget that had no room for it has
@@ -232,7 +255,10 @@
         self.nodes: Dict[str, Node] = {}
         self.caches: List[Node] = []
         self.cache_salts: List[int] = []  # of the same, in the same order
-        self.orders: Dict[int, List[Node]] = {}  # the first caches of an object's hash order; oldest first
+        self.added: List[
+            Node
+        ] = []  # caches in the order in which they came, for what is remembered of orders
+        self.orders: Dict[int, Order] = {}  # by an object's salt; that used longest ago first
         self.may_be_cold: Dict[Node, None] = {}  # caches that started or were lost not long ago
         self.parents: List[Node] = []
         self.origin: Optional[Node] = None
@@ -292,15 +318,15 @@
     def learn_list(self, listed: face.Listed) -> None:
         if listed.whole:
             here = {row.id for row in listed.rows}
-            for node in self.nodes.values():
-                if node.id not in here:
-                    node.row = node.row._replace(state="gone")
+            for node in [each for each in self.nodes.values() if each.id not in here]:
+                node.row = node.row._replace(state="gone")
+                self.place(node)
         for row in listed.rows:
             known = self.nodes.get(row.id)
             if known is None:
                 if self.listed and not listed.whole and not row.started:
                     row = row._replace(started=self.now)  # a newcomer is cold, told when it started or not
-                self.nodes[row.id] = Node(row)
+                known = self.nodes[row.id] = Node(row)
             elif row.state == "gone":
                 known.row = known.row._replace(state="gone")
             else:
@@ -308,23 +334,45 @@
                     known.reset()
                     known.table = Table()
                 known.row = row._replace(started=max(row.started, known.row.started))
+            self.place(known)
         self.listed = True
-        # guards the memory against a long day of replacements: an id told again starts from nothing
-        self.nodes = {name: node for name, node in self.nodes.items() if node.row.state != "gone"}
-        facts, ready = self.facts, [node for node in self.nodes.values() if node.row.state == "ready"]
-        self.parents = [node for node in ready if node.row.kind == facts.parent_kind]
-        self.origin = next((node for node in ready if node.row.kind == facts.origin_kind), None)
-        behind = (facts.parent_kind, facts.origin_kind)
-        for node in self.caches:
-            node.is_cache_here = False
-        self.caches = [each for each in ready if each.row.zone == facts.zone and each.row.kind not in behind]
-        for node in self.caches:
-            node.is_cache_here = True
-            if node.row.started or node.lost_at:
-                self.may_be_cold[node] = None
-        self.cache_salts = [node.salt for node in self.caches]
-        self.orders.clear()
-        self.may_be_cold = {node: None for node in self.may_be_cold if node.is_cache_here}
+
+    def place(self, node: Node) -> None:
+        """Sorts a node that has changed in or out; a change of one costs that one, however many there are.
+        One that is gone is forgotten: an id told again starts from nothing."""
+        facts, ready = self.facts, node.row.state == "ready"
+        kind, behind = node.row.kind, (facts.parent_kind, facts.origin_kind)
+        if node.row.state == "gone":
+            del self.nodes[node.id]
+        if kind == facts.origin_kind:
+            self.origin = self.first_origin()
+        elif kind == facts.parent_kind and ready is not (node in self.parents):
+            self.parents = (
+                [*self.parents, node] if ready else [each for each in self.parents if each is not node]
+            )
+        is_here = ready and node.row.zone == facts.zone and kind not in behind
+        if is_here and not node.is_cache_here:
+            self.caches.append(node)
+            self.cache_salts.append(node.salt)
+            if len(self.added) >= MOST_ADDED:  # guards the memory: what is remembered holds those that left
+                self.added.clear()
+                self.orders.clear()
+            self.added.append(node)
+        elif node.is_cache_here and not is_here:
+            at = self.caches.index(node)
+            del self.caches[at], self.cache_salts[at]
+        node.is_cache_here = is_here
+        if is_here and (node.row.started or node.lost_at):
+            self.may_be_cold[node] = None
+        elif not is_here:
+            self.may_be_cold.pop(node, None)
+
+    def first_origin(self) -> Optional[Node]:
+        """The origin that was listed first, of those that are ready."""
+        for node in self.nodes.values():
+            if node.row.state == "ready" and node.row.kind == self.facts.origin_kind:
+                return node
+        return None
 
     # Purges
 
@@ -427,22 +475,33 @@
         return req.ranks[node]
 
     def hash_order(self, req: Req) -> Iterator[Node]:
-        """All caches in the object's hash order. The first of it are remembered until the list changes: the
-        order of thousands costs milliseconds."""
-        first = self.orders.pop(req.salt, None)
-        hashes: List[int] = []
-        if first is None:
-            hashes = mix_all(req.salt, self.cache_salts)
-            places = nlargest(ORDER_KEPT, range(len(hashes)), key=hashes.__getitem__)
-            first = [self.caches[place] for place in places]
+        """All caches in the object's hash order. The first of it are remembered: the order of thousands costs
+        milliseconds."""
+        order = self.remembered(req.salt)
+        yield from [node for node in order.first if node.is_cache_here]
+        hashes = mix_all(req.salt, self.cache_salts) if len(order.first) < len(self.caches) else []
+        places = [place for place in range(len(hashes)) if hashes[place] < order.floor]
+        places.sort(key=hashes.__getitem__, reverse=True)
+        yield from [self.caches[place] for place in places]
+
+    def remembered(self, salt: int) -> Order:
+        """The first caches of a hash order, with those that came since it was worked out."""
+        order = self.orders.pop(salt, None)
+        if order is None or len(self.added) - order.seen > MERGED:
+            order = self.work_out(salt)
             if len(self.orders) >= TABLE:
                 del self.orders[next(iter(self.orders))]
-        self.orders[req.salt] = first
-        yield from first
-        if len(first) < len(self.caches):
-            hashes = hashes or mix_all(req.salt, self.cache_salts)
-            places = sorted(range(len(hashes)), key=hashes.__getitem__, reverse=True)
-            yield from [self.caches[place] for place in places[len(first) :]]
+        elif order.seen < len(self.added):
+            order.merge(salt, self.added)
+        self.orders[salt] = order
+        return order
+
+    def work_out(self, salt: int) -> Order:
+        """The first caches of a hash order, from all of them."""
+        hashes = mix_all(salt, self.cache_salts)
+        places = nlargest(ORDER_KEPT, range(len(hashes)), key=hashes.__getitem__)
+        floor = hashes[places[-1]] if len(places) == ORDER_KEPT else 0
+        return Order([self.caches[place] for place in places], floor, len(self.added))
 
     def look_at_those_that_change(self, req: Req) -> Dict[Node, bool]:
         """Whether each cache fits of which asking that changes what is known: those that owe an answer, and
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -483,11 +483,12 @@
         """Connections to nodes go well before the nodes let them go, so that no req crosses the close."""
         now = self.clock.now()
         idle = AT_PEACE if self.driver.is_crowded() else (self.told.transport.idle or now) // 2
-        for node in list(self.nodes.values()):
+        linked = [node for node in self.nodes.values() if node.links]
+        for node in linked:
             node.look(now, now - idle)
-            if node.state == "gone" and not node.links:
-                del self.nodes[node.id]  # guards the memory on days on which all nodes are replaced
-        self.links_each = self.driver.share_of(sum(bool(node.links) for node in self.nodes.values()))
+        for name in [node.id for node in self.nodes.values() if node.state == "gone" and not node.links]:
+            del self.nodes[name]  # guards the memory on days on which all nodes are replaced
+        self.links_each = self.driver.share_of(sum(bool(node.links) for node in linked))
         for client in list(self.clients):
             client.link.drop_late(self.clock.seconds(now))
             client.look(now)
--- a/ironhinge/net/driver.py
+++ b/ironhinge/net/driver.py
@@ -176,7 +176,7 @@
     def _drop_socket(self, link: Link) -> None:
         """Closes the socket of an attempt to connect that is to be made again."""
         if link.sock is not None:
-            link.sock.close()
+            self.caller.close(link.sock)
             link.sock = None
             self.open -= 1
 
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -295,7 +295,7 @@
     def _release(self) -> None:
         """Closes the socket once no task waits on it: its number may be another's at once."""
         if self.is_over and not self.users and self.sock is not None:
-            self.sock.close()
+            self.driver.caller.close(self.sock)
             self.sock = None
             self.driver.open -= 1
 
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -33,6 +33,7 @@
 # long after SIGTERM
 LONGEST = 3 * SECOND
 WRITE_OUT = 200 * MILLISECOND  # kept of that for writing the last answers
+LAST_ACCEPTS = 0.05  # seconds for taking the backlog, however short the client timeouts are
 NOT_KILLED = 500 * MILLISECOND  # after that time the program ends by itself, whoever still holds a connection
 LAST = 200 * MILLISECOND  # for clients to end their side then
 AGAIN = 0.05  # seconds until a task that failed is started again
@@ -172,7 +173,7 @@
     began = clock.now()
     director.leave(killed - WRITE_OUT)
     await anyio.sleep(STILL_COMING)
-    left = clock.seconds(began + killed - WRITE_OUT - clock.now())
+    left = max(LAST_ACCEPTS, clock.seconds(began + killed - WRITE_OUT - clock.now()))
     await director.driver.close_listener(listener, lambda: Client(director), director.make_room, left)
     director.take_no_more()
     director.end_silent_clients()
--- a/ironhinge/net/sockets.py
+++ b/ironhinge/net/sockets.py
@@ -144,6 +144,13 @@
                 return remedy
         return Remedy.PAUSE
 
+    def close(self, sock: socket.socket) -> None:
+        """Gives a descriptor back; Linux does so also where it tells an error, says close(2)."""
+        try:
+            sock.close()
+        except OSError as error:
+            self.failed(Call.CLOSE, error.errno)
+
     async def readable(self, sock: socket.socket) -> None:
         """Waits until a socket can be read, or for a pause where it can't be watched."""
         try:
--- a/ironhinge/net/system_calls.py
+++ b/ironhinge/net/system_calls.py
@@ -29,6 +29,7 @@
     SET_OPTION = auto()
     GET_OPTION = auto()
     SHUTDOWN = auto()
+    CLOSE = auto()
     POLL = auto()
     SEND_DATAGRAM = auto()
     RECEIVE_DATAGRAM = auto()
@@ -118,6 +119,9 @@
     (Call.SHUTDOWN, Remedy.PAUSE, _NO_MEMORY),
     (Call.SHUTDOWN, Remedy.GONE, _BROKEN),
     (Call.SHUTDOWN, Remedy.BUG, _BUGS),
+    (Call.CLOSE, Remedy.SKIP, (errno.EINTR, errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.ECONNRESET)),
+    (Call.CLOSE, Remedy.SKIP, _NO_MEMORY),
+    (Call.CLOSE, Remedy.BUG, (errno.EBADF,)),
     # a socket that can't be watched is looked at again after a pause
     (Call.POLL, Remedy.PAUSE, (errno.ENOSPC, *_NO_MEMORY)),
     (Call.POLL, Remedy.BUG, (errno.EBADF, errno.EEXIST, errno.EINVAL, errno.ENOENT, errno.EPERM)),
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,9 +1,11 @@
 """One small test for each failure that was found."""
 
+from random import Random
+
 import pytest
 
 from ironhinge import interface as face
-from ironhinge.brain import Router
+from ironhinge.brain import Req, Router, mix
 
 from .helpers import CACHES, deployment, outcome, req, router, row
 
@@ -296,3 +298,33 @@
     assert node.room is not None and node in one.may_be_cold
     one.step(1000 + one.facts.cold + 1, req("b"))
     assert node.room is None and node not in one.may_be_cold
+
+
+def order_of(one, obj):
+    """An object's hash order, by name, and as it would be worked out anew."""
+    some = Req(req("x", obj=obj), one.vhosts[0], 0, 1)
+    anew = sorted(one.caches, key=lambda node: mix(some.salt, node.salt), reverse=True)
+    return [node.id for node in one.hash_order(some)], [node.id for node in anew]
+
+
+def test_what_is_remembered_of_an_order_stays_true_while_caches_come_and_go():
+    """Caches join, drain, come back and go for good, one at a time and many at once."""
+    one, chance, ready = router(names=("c0", "p0", "o")), Random(4), set()
+    for step in range(400):
+        for _ in range(chance.choice([1, 1, 1, 90])):
+            name = f"c{2 * chance.randrange(150)}"
+            state = chance.choice(["ready", "ready", "draining", "gone"])
+            one.step(step, face.Listed(False, (row(name, state),)))
+            ready = ready - {name} if state != "ready" else ready | {name}
+        kept, anew = order_of(one, chance.randrange(6))
+        assert kept == anew and ready <= set(kept)
+    assert len(one.added) <= 512 and one.cache_salts == [node.salt for node in one.caches]
+
+
+def test_a_change_of_one_node_costs_one(monkeypatch):
+    """Guards the CPU of large fleets while many nodes are replaced."""
+    one = router(deployment(weights="nominal"), [*(f"c{2 * i}" for i in range(2000)), "p0", "p1", "o"])
+    placed, plain = [], Router.place
+    monkeypatch.setattr(Router, "place", lambda self, node: placed.append(node) or plain(self, node))
+    one.step(10, face.Listed(False, (row("c4", "draining"),)))
+    assert [node.id for node in placed] == ["c4"]
