What came while the program was stopped is known to have waited, whichever turn reads it

The times of the event loop's looks cover a task that wakes one turn later; after a pause between failed reads it wakes two turns later.

Change: Poll notes when the loop was kept from running; for 0.1 s after it all that is read may have come in it.

--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -231,7 +231,7 @@
         its client may have left meanwhile, unread."""
         now = self.clock.now()
         link = out.req.client.link
-        if link.unread_since is not None or now > int(self.driver.poll.since * SECOND) + UNREAD:
+        if link.unread_since is not None or now > int(self.driver.poll.unread_since() * SECOND) + UNREAD:
             link.read_now()  # else what it has not read came within that time: an attempt may still begin
         if not out.over and (out.req.closed or now >= out.until):
             self.end(out, Ending.UNWRITTEN if out.taken_back() else Ending.TIMED_OUT)
@@ -476,7 +476,7 @@
         """Guards against reqs lost while the program is short of CPU or descriptors: what a req that was just
         read may have waited, in the backlog too, and what its end may come late by, beyond what the protocol
         leaves room for."""
-        since = self.driver.poll.since
+        since = self.driver.poll.unread_since()
         if link.unread_since is not None:
             since = min(since, link.unread_since)
         waited = self.clock.now() - int(since * SECOND)
--- a/ironhinge/net/driver.py
+++ b/ironhinge/net/driver.py
@@ -216,7 +216,7 @@
                 await self.caller.readable(listener)
             except anyio.ClosedResourceError:
                 return False
-            self.backlog_empty_at = max(self.backlog_empty_at, self.poll.since)
+            self.backlog_empty_at = max(self.backlog_empty_at, self.poll.unread_since())
         elif remedy is Remedy.SKIP:
             await lowlevel.checkpoint()
         elif remedy is Remedy.DESCRIPTORS:
--- a/ironhinge/net/links.py
+++ b/ironhinge/net/links.py
@@ -343,7 +343,7 @@
             if remedy is Remedy.WAIT:
                 self.unread_since = None
             elif self.unread_since is None:
-                self.unread_since = self.driver.poll.since
+                self.unread_since = self.driver.poll.unread_since()
             return 0, remedy
         if remedy is not Remedy.DONE or not count:
             self.end(Ending.CLOSED if remedy is Remedy.DONE else Ending.RESET)
--- a/ironhinge/net/poll.py
+++ b/ironhinge/net/poll.py
@@ -6,6 +6,9 @@
 from time import monotonic
 from typing import Any, List, Optional
 
+STALL = 0.03  # seconds by which the loop is late when it was kept from running
+STALL_LASTS = 0.1  # seconds after a stall in which what came in it may still be unread
+
 
 class Poll(selectors.DefaultSelector):
     """What a task reads was found one look before the latest, since the loop wakes tasks a turn later, and
@@ -15,8 +18,22 @@
     def __init__(self) -> None:
         super().__init__()
         self.since = self.found_at = self.looked_at = monotonic()
+        self.stalled_from = self.stalled_until = 0.0  # when the program last was kept from running
 
     def select(self, timeout: Optional[float] = None) -> List[Any]:
+        began = monotonic()
         found = super().select(timeout)
-        self.since, self.found_at, self.looked_at = self.found_at, self.looked_at, monotonic()
+        now = monotonic()
+        if began > self.looked_at + STALL:  # between two looks
+            self.stalled_from, self.stalled_until = self.looked_at, now
+        elif timeout is not None and now > began + max(0.0, timeout) + STALL:  # in this one
+            self.stalled_from, self.stalled_until = began, now
+        self.since, self.found_at, self.looked_at = self.found_at, self.looked_at, now
         return found
+
+    def unread_since(self) -> float:
+        """What is read now has come after this. Some tasks take a turn more to wake: shortly after a stall
+        all that is read may have come in it."""
+        if monotonic() < self.stalled_until + STALL_LASTS:
+            return min(self.since, self.stalled_from)
+        return self.since
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -455,8 +455,7 @@
 class BusyPoll:
     """The event loop has just looked at its sockets."""
 
-    @property
-    def since(self):
+    def unread_since(self):
         return time.monotonic()
 
 
@@ -488,6 +487,23 @@
     assert 9000 * 10 - 4000 < came_.left <= 9000 * 10 - 2000  # 0.3 s, less the 50 ms that are allowed
 
 
+def test_what_came_while_the_program_was_stopped_is_known_to_have_waited():
+    """A task that takes a turn more to wake reads it when two looks have gone by since."""
+    poll, pair = Poll(), socket.socketpair()
+    poll.register(pair[0], 1)
+    poll.select(0)
+    began = time.monotonic()
+    pair[1].send(b"x")
+    time.sleep(0.1)  # the program is stopped
+    for _ in range(4):
+        poll.select(0)
+        assert poll.unread_since() <= began
+    poll.stalled_until -= 1.0
+    assert poll.unread_since() > began
+    for each in pair:
+        each.close()
+
+
 def test_room_is_made_for_new_connections_while_the_program_ends():
     """Clients that rest hold all descriptors: they have been told of the end, and can go for others."""
 
