A request's deadline is fixed when it is read, not when it is decided on

Cause: what a request may have waited was taken off its time as of one reading of the clock, and the decisions counted the rest from a second reading, some 20 to 50 us later. A stop between the two was in neither.

The deadline is an instant now, from the one reading that the wait was counted to; what is left of it is worked out from the same `now` that the decisions get. No pause between reading and deciding can be missed.

--- a/ironhinge/net/decision_loop.py
+++ b/ironhinge/net/decision_loop.py
@@ -8,17 +8,28 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 from loguru import logger
 
-from ..interface import Event
+from ..interface import Event, RequestReceived
 from ..routing import Router
 from .clock import Clock
 
 CommandHandlers = Mapping[type, Callable[[Any], None]]
 
 
+class _RequestWithDeadline(NamedTuple):
+    """A request that waits for the decisions, and the instant until which its client waits."""
+
+    request: RequestReceived
+    deadline: int
+
+    def as_of(self, now: int) -> RequestReceived:
+        """The request with the time that is left now."""
+        return self.request._replace(time_remaining=max(0, self.deadline - now))
+
+
 class DecisionLoop:
     """Hands events to a router and its commands to their handlers."""
 
@@ -34,12 +45,24 @@
         self._clock = clock
         self._on_fault = on_fault  # gets the id of the request at hand, empty where there is none
         self._on_drained = on_drained  # all events have been handled
-        self._queue: deque[Event] = deque()
+        self._queue: deque[Event | _RequestWithDeadline] = deque()
         self._is_handling = False
 
     def report(self, event: Event) -> None:
         """Hands an event to the decisions and carries out what they answer."""
         self._queue.append(event)
+        self._handle_queue()
+
+    def report_request(self, request: RequestReceived, deadline: int) -> None:
+        """Hands over a request whose client waits until that instant.
+
+        What is left of that is worked out when the decisions learn of it: the process may be stopped between
+        the reading of a request and that.
+        """
+        self._queue.append(_RequestWithDeadline(request, deadline))
+        self._handle_queue()
+
+    def _handle_queue(self) -> None:
         if self._is_handling:
             return
         self._is_handling = True
@@ -50,10 +73,12 @@
             self._is_handling = False
             self._on_drained()
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, queued: Event | _RequestWithDeadline) -> None:
         handlers = self.handlers
+        now = self._clock.now()
+        event = queued.as_of(now) if isinstance(queued, _RequestWithDeadline) else queued
         try:
-            for command in self.router.handle(self._clock.now(), event):
+            for command in self.router.handle(now, event):
                 handlers[type(command)](command)
         except Exception:  # noqa: BLE001 - a fault costs the request at hand, not the program
             logger.exception("decision_failed event={}", type(event).__name__)
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -157,7 +157,7 @@
             client.connection.write(client_wire.answer(message.stream, client_wire.DENIED, {}))
             return
         try:
-            request = self._open_request(client, message, now)
+            request = self._open_request(client, message)
         except ValueError as error:
             self.warn("unreadable_requests", f"request_unreadable error={str(error)!r}")
             text = str(error).encode()
@@ -165,28 +165,28 @@
             return
         client.open_requests[request.stream] = self.requests[request.request_id] = request
         self.diagnostics.counters["requests"] += 1
-        self.report(request.received)
+        self.decisions.report_request(request.received, request.deadline)
 
     def _open_request(
         self,
         client: ClientConnection,
         message: client_wire.RequestFrame | client_wire.MalformedRequest,
-        now: int,
     ) -> OpenRequest:
         """Reads a request; `ValueError` says what is wrong with it."""
         if isinstance(message, client_wire.MalformedRequest):
             raise RequestFieldError(message.text)
-        margin = self.monitor.deadline_margin(client.connection)
+        read_at = self.clock.now()
+        margin = self.monitor.deadline_margin(client.connection, read_at)
         request = read_request(
             message.fields, self.config.names, self.config.deployment, client.number, margin
         )
         received = request.received
         if received.request_id in self.requests:
             raise RequestFieldError("field 'trace' names an open req")
+        deadline = read_at + received.time_remaining
         if self.shutdown_deadline is not None:
-            time_remaining = max(0, min(received.time_remaining, self.shutdown_deadline - now))
-            request = request._replace(received=received._replace(time_remaining=time_remaining))
-        return OpenRequest(request, client, message.stream, message.body, now)
+            deadline = min(deadline, self.shutdown_deadline)
+        return OpenRequest(request, client, message.stream, message.body, deadline)
 
     def on_client_disconnected(self, request: OpenRequest) -> None:
         """Nobody waits for a request's answer any more."""
--- a/ironhinge/net/loop_monitor.py
+++ b/ironhinge/net/loop_monitor.py
@@ -26,8 +26,8 @@
         """A timer fired that late."""
         self.loop_lag = max(self.loop_lag, lag)
 
-    def deadline_margin(self, connection: Connection) -> int:
-        """What comes off the time of a request that was just read.
+    def deadline_margin(self, connection: Connection, now: int) -> int:
+        """What comes off the time of a request that was just read, as of that instant.
 
         What it may have waited, in the backlog too, and what its end may come late by, beyond what the
         protocol allows. It is 0 on a machine that is not short of CPU or descriptors.
@@ -35,5 +35,5 @@
         since = self.selector.unread_since()
         if connection.unread_since is not None:
             since = min(since, connection.unread_since)
-        waited = self._clock.now() - int(since * SECOND)
+        waited = now - int(since * SECOND)
         return max(0, waited + self.loop_lag - ALLOWED_LATENESS)
--- a/ironhinge/net/open_request.py
+++ b/ironhinge/net/open_request.py
@@ -32,6 +32,7 @@
         "body",
         "client",
         "client_disconnected",
+        "deadline",
         "is_closed",
         "passed",
         "received",
@@ -39,14 +40,17 @@
         "stream",
     )
 
-    def __init__(self, request: ClientRequest, client: AnswerReceiver, stream: int, body: bytes, now: int):
+    def __init__(
+        self, request: ClientRequest, client: AnswerReceiver, stream: int, body: bytes, deadline: int
+    ):
         self.received: RequestReceived = request.received
         self.passed = request.passed
         self.request_id = request.received.request_id
         self.client = client
         self.stream = stream
         self.body = body
-        self.answer_expires_at = Clock.seconds(now + request.received.time_remaining + LINGER)
+        self.deadline = deadline  # until then its client waits
+        self.answer_expires_at = Clock.seconds(deadline + LINGER)
         self.is_closed = False  # answered, or its client has left
         self.client_disconnected = False
         self.attempt_count = 0
