What a socket had unread is proven by polls, not guessed from the loop's turns

Callers could see a request that waited unread in a stop of the program treated as new: attempts told too much, answers after their time, attempts for clients that had left.

Cause: the selector took what is read for found one poll before the latest, and remembered one stall only. Data that is read two turns after it was found, after a second turn of over 30 ms, was taken for new.

Now the selector knows for each descriptor when the last poll began that looked at it and found nothing (a long poll is repeated without waiting, so that its time is known), and a connection keeps the latest time at which it was empty: by such a poll, or by a read that found nothing. Whatever is read came after that, whichever turn reads it. A read that is short is believed for 30 ms only.

The same fault in the backlog: its time was taken after the accept that found it empty, and several requests of one connection were all as young as the last data (TCP_INFO); now only the last of them is. SO_TIMESTAMPNS was tried and not taken: of two writes 0.3 s apart, unread, it tells the later one's time for both, and it is a time of the wall clock.

Tests: those that set the old fields now really keep the process from running (same bounds); play() and connected() run on the program's own selector. Without the change test_only_the_last_of_several_requests_in_the_backlog_is_as_young_as_its_data fails with `assert 90000 <= ((90000 - 4000) + 500)`. test_a_stop_after_the_backlog_was_found_empty_counts passed before too, as one stall was remembered; it stays.

--- a/ironhinge/net/acceptor.py
+++ b/ironhinge/net/acceptor.py
@@ -91,13 +91,14 @@
                 continue
             if host.is_nearly_full():
                 self._reclaim_descriptor(False)
+            began_at = monotonic()
             sock, remedy = host.calls.accept(self._listener)
             if sock is not None:
                 self._backoff.reset()
                 self._log_recovery()
                 host.adopt(sock, self._make_receiver())
                 await lowlevel.checkpoint()  # a crowd of new clients must not keep the others from being read
-            elif not await self._wait_to_accept(remedy):
+            elif not await self._wait_to_accept(remedy, began_at):
                 return
 
     async def drain_backlog(self, max_wait: float) -> None:
@@ -133,9 +134,10 @@
             pass
         await anyio.sleep(FULL_RETRY_INTERVAL)
 
-    async def _wait_to_accept(self, remedy: Remedy) -> bool:
+    async def _wait_to_accept(self, remedy: Remedy, tried_at: float) -> bool:
         """Waits until accepting is worth another try; False once the listener is closed."""
         if remedy is Remedy.WAIT:
+            self._host.backlog_empty_at = tried_at
             return await self._wait_for_connection()
         if remedy is Remedy.SKIP:
             await lowlevel.checkpoint()
@@ -152,12 +154,12 @@
     async def _wait_for_connection(self) -> bool:
         """Waits for a connection in the empty backlog; False once the listener is closed."""
         host = self._host
-        host.backlog_empty_at = monotonic()
+        descriptor = self._listener.fileno()
         try:
             await host.calls.readable(self._listener)
         except anyio.ClosedResourceError:
             return False
-        host.backlog_empty_at = max(host.backlog_empty_at, host.selector.unread_since())
+        host.backlog_empty_at = max(host.backlog_empty_at, host.selector.empty_until(descriptor))
         return True
 
     def _log_shortage(self, reason: str) -> None:
--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -34,7 +34,7 @@
 from .upstream_command import command_fields, max_copy_age_ms, set_time_remaining
 from .upstream_pool import UpstreamPool
 
-MAX_UNREAD = 30 * MILLISECOND  # an attempt may begin until 0.1 s after its client has left
+MAX_UNREAD = 0.03  # seconds; an attempt may begin until 0.1 s after its client has left
 LATE_ANSWER_TIMEOUT = SECOND  # within which a second answer to an attempt may still come
 DELIVERED = (AttemptEnd.SERVED, AttemptEnd.NOT_MODIFIED)  # nothing follows these
 ATTEMPTS_STARTED = "attempts_started"  # counter
@@ -140,11 +140,8 @@
 
         It may have waited for its connection, and its client may have left meanwhile, unread.
         """
+        attempt.request.client.connection.catch_up(MAX_UNREAD)
         now = self._clock.now()
-        client = attempt.request.client.connection
-        last_read = int(self._monitor.selector.unread_since() * SECOND)
-        if client.unread_since is not None or now > last_read + MAX_UNREAD:
-            client.read_now()  # else what it has not read came within the time in which an attempt may begin
         if not attempt.is_finished and (attempt.request.is_closed or now >= attempt.deadline):
             was_withdrawn = attempt.withdraw()
             self.finish_operation(attempt, AttemptEnd.NOT_SENT if was_withdrawn else AttemptEnd.TIMED_OUT)
--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -143,6 +143,8 @@
         for message in messages:
             if self._drops_input():  # the message before may have ended our side
                 return
+            if message is messages[-1] and not self.wire.buffered:
+                connection.begin_at_last_data()
             self._record_usage(message)
             self._on_message(message)
 
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -29,6 +29,7 @@
 READS_PER_TURN = 8  # reads of one connection before other tasks run
 IMMEDIATE_READS = 4  # reads by `read_now`: one may be short, or fail for a moment
 DISCARD_INTERVAL = 0.01  # seconds between reads of data that is discarded
+RECENTLY_EMPTY = 0.03  # seconds for which it counts that a connection had nothing unread
 
 EMPTY_BUFFER = RingBuffer(0)
 
@@ -98,9 +99,9 @@
         self.is_receiving = False  # the receiver's `on_data` is running
         self.discarded_bytes = 0  # bytes that arrived after `finish`
         self.last_received_at = 0.0  # when data last arrived, in monotonic seconds
-        # What is read next may have arrived at any time since then (monotonic seconds), because it waited in
-        # the listen backlog or could not be read; None: since the selector's previous poll.
-        self.unread_since: float | None = None
+        self.empty_at = monotonic()  # what is read next has arrived after that; see `empty_until`
+        self.is_polled = False  # the read loop waits for the socket to be readable
+        self.backlog_data_at: float | None = None  # when the last data arrived that waited in the backlog
         self.task_count = 0  # tasks that use the socket
         self.cancel_scope = anyio.CancelScope()
         self.write_wait: anyio.CancelScope | None = None  # set while the system accepts no more
@@ -311,7 +312,6 @@
 
     async def read_loop(self) -> None:
         """Reads until the connection ends."""
-        calls = self.manager.calls
         reads = 0
         while self.sock is not None and not self.is_closed:
             if self.is_finishing and reads:  # a peer that sends without end must not use up the CPU
@@ -321,7 +321,7 @@
             if self.is_closed:
                 return
             if remedy is Remedy.WAIT:
-                await calls.readable(self.sock)
+                await self._wait_until_readable()
                 continue
             if remedy is Remedy.PAUSE:
                 await anyio.sleep(self._next_pause())
@@ -332,11 +332,42 @@
             self.manager.flush()
             if self.is_closed:
                 return
-            if count < size and self.unread_since is None:  # a short read: nothing more is there
-                await calls.readable(self.sock)
+            if count < size and monotonic() < self.empty_at + RECENTLY_EMPTY:
+                await self._wait_until_readable()  # a short read: most probably nothing more is there
             elif reads % READS_PER_TURN == 0:
                 await lowlevel.checkpoint()
 
+    async def _wait_until_readable(self) -> None:
+        assert self.sock is not None
+        descriptor = self.sock.fileno()
+        self.is_polled = True
+        try:
+            await self.manager.calls.readable(self.sock)
+        finally:
+            self.empty_at = self.empty_until()
+            self.is_polled = False
+            self.manager.selector.forget(descriptor)
+
+    def empty_until(self) -> float:
+        """Returns until when the connection is known to have had nothing unread (monotonic seconds).
+
+        Whatever is read now arrived after that, however long the process was kept from running.
+        """
+        if not self.is_polled or self.sock is None:
+            return self.empty_at
+        return max(self.empty_at, self.manager.selector.empty_until(self.sock.fileno()))
+
+    def begin_at_last_data(self) -> None:
+        """Notes that what is still to be handled ends with the last data that waited in the backlog."""
+        if self.backlog_data_at is not None and not self.has_unread():
+            self.empty_at = max(self.empty_at, self.backlog_data_at)
+        self.backlog_data_at = None
+
+    def catch_up(self, max_age: float) -> None:
+        """Reads what has arrived, unless nothing that is older than `max_age` seconds can be unread."""
+        if monotonic() > self.empty_until() + max_age:
+            self.read_now()
+
     def read_now(self) -> None:
         """Reads what has arrived without waiting for the read loop's turn, where a decision depends on it."""
         for _ in range(IMMEDIATE_READS):
@@ -359,12 +390,11 @@
         """
         assert self.sock is not None
         ring = self.inbound
+        began_at = monotonic()
         count, remedy = self.manager.calls.receive(self.sock, ring.writable())
+        if remedy is Remedy.WAIT:
+            self.empty_at = began_at
         if remedy in (Remedy.WAIT, Remedy.PAUSE):
-            if remedy is Remedy.WAIT:
-                self.unread_since = None
-            elif self.unread_since is None:
-                self.unread_since = self.manager.selector.unread_since()
             return 0, remedy
         if remedy is not Remedy.DONE or not count:
             self.close(AttemptEnd.CLOSED if remedy is Remedy.DONE else AttemptEnd.RESET)
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -217,10 +217,16 @@
         connection.sock = sock
         connection.is_connected = True
         connection.no_delay = self.calls.enable_no_delay(sock)
-        waited = monotonic() - self.backlog_empty_at
-        if waited > BACKLOG_WAIT_THRESHOLD:
-            connection.unread_since = monotonic() - min(waited, self.calls.seconds_since_data(sock, waited))
+        self._record_backlog_wait(connection, sock)
         self.connections[connection] = None
         receiver.on_connected(connection)
         self.flush()
         self.task_group.start_soon(connection.run_task, connection.read_loop, connection.cancel_scope)
+
+    def _record_backlog_wait(self, connection: Connection, sock: socket.socket) -> None:
+        """Notes since when the first data of a connection may have waited in the backlog."""
+        connection.empty_at = self.backlog_empty_at
+        now = monotonic()
+        waited = now - self.backlog_empty_at
+        if waited > BACKLOG_WAIT_THRESHOLD:
+            connection.backlog_data_at = now - self.calls.seconds_since_data(sock, waited)
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -80,7 +80,7 @@
         self.shutdown_deadline: int | None = None  # by then all is answered
         self.admission_deadline: int | None = None  # requests read after that are not taken
         self.diagnostics = Diagnostics(self.clock)
-        self.monitor = LoopMonitor(self.clock, manager.selector)
+        self.monitor = LoopMonitor(self.clock)
         self.clients = ClientRegistry(manager, self.clock)
         self.timers = Timers(self.clock, self)
         self.attempts = Attempts(config, self.clock, self.monitor, self.diagnostics, self)
--- a/ironhinge/net/loop_monitor.py
+++ b/ironhinge/net/loop_monitor.py
@@ -4,7 +4,6 @@
 
 from .clock import MILLISECOND, SECOND, Clock
 from .connection import Connection
-from .timed_selector import TimedSelector
 
 ALLOWED_LATENESS = 50 * MILLISECOND  # each limit of the protocol is longer by this
 LAG_DECAY_PERCENT = 97  # of the lag seen that still counts with the next pulse
@@ -13,9 +12,8 @@
 class LoopMonitor:
     """The most that the event loop was late, fading."""
 
-    def __init__(self, clock: Clock, selector: TimedSelector):
+    def __init__(self, clock: Clock):
         self.loop_lag = 0
-        self.selector = selector
         self._clock = clock
 
     def on_pulse(self, due: int) -> None:
@@ -32,8 +30,5 @@
         What it may have waited, in the backlog too, and what its end may come late by, beyond what the
         protocol allows. It is 0 on a machine that is not short of CPU or descriptors.
         """
-        since = self.selector.unread_since()
-        if connection.unread_since is not None:
-            since = min(since, connection.unread_since)
-        waited = now - int(since * SECOND)
+        waited = now - int(connection.empty_until() * SECOND)
         return max(0, waited + self.loop_lag - ALLOWED_LATENESS)
--- a/ironhinge/net/timed_selector.py
+++ b/ironhinge/net/timed_selector.py
@@ -1,51 +1,81 @@
-"""A selector that remembers when it polled, to bound how long data may have waited to be read."""
+"""A selector that knows until when each socket had nothing to read, however long the process was stopped."""
 
 from __future__ import annotations
 
 import selectors
+from math import inf
 from time import monotonic
 from typing import Any
 
-STALL_THRESHOLD = 0.03  # seconds by which the event loop is late when the process was kept from running
-STALL_EFFECT = 0.1  # seconds after a stall in which data that arrived during it may still be unread
+LONG_POLL = 0.005  # seconds from which on the time of a poll has to be known better than by its start
+NEVER = -inf
 
 
 class TimedSelector(selectors.DefaultSelector):
-    """The event loop's selector, with the times of its polls.
+    """The event loop's selector, with the times at which polls found nothing to read.
 
-    The loop wakes tasks one turn after the poll that found their sockets ready. So what a task reads was
-    found one poll before the latest, and had not arrived at the poll before that: it has waited since then
-    at most, however long the process was kept from running.
-
-    Attributes (seconds of the monotonic clock):
-        previous_found_at: The poll before the one that found what tasks read now.
-        found_at: The poll that found what tasks read now.
-        last_polled_at: The latest poll.
-        stalled_from, stalled_until: When the process was last kept from running.
+    A socket that was polled and not found readable had nothing to read when that poll began. A poll that took
+    long may have waited for other sockets, or the process may have been stopped within it; it is repeated
+    without waiting, so that its time is known. What is read from a socket arrived after the last poll that
+    found nothing there, however many turns of the event loop pass until a task reads it.
     """
 
     def __init__(self) -> None:
         super().__init__()
-        self.previous_found_at = self.found_at = self.last_polled_at = monotonic()
-        self.stalled_from = self.stalled_until = 0.0
+        self._poll_number = 0
+        self._polled_at = NEVER  # the start of the latest poll
+        self._first_polls: dict[int, int] = {}  # the first poll that a descriptor takes part in
+        self._empty_until: dict[int, float] = {}  # of the descriptors that were found readable
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        """Registers like `selectors.DefaultSelector.register`."""
+        key = super().register(fileobj, events, data)
+        self._begin_polling(key)
+        return key
+
+    def modify(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        """Changes a registration like `selectors.DefaultSelector.modify`."""
+        was_polled = self.get_key(fileobj).events & selectors.EVENT_READ
+        key = super().modify(fileobj, events, data)
+        if not was_polled:
+            self._begin_polling(key)
+        return key
 
-    def select(self, timeout: float | None = None) -> list[Any]:
+    def _begin_polling(self, key: selectors.SelectorKey) -> None:
+        self._first_polls[key.fd] = self._poll_number + 1
+        self._empty_until.pop(key.fd, None)
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Polls the sockets like `selectors.DefaultSelector.select`, and records the times."""
-        began = monotonic()
+        polled_at = monotonic()
         ready = super().select(timeout)
-        now = monotonic()
-        if began > self.last_polled_at + STALL_THRESHOLD:  # stalled between two polls
-            self.stalled_from, self.stalled_until = self.last_polled_at, now
-        elif timeout is not None and now > began + max(0.0, timeout) + STALL_THRESHOLD:  # stalled in this one
-            self.stalled_from, self.stalled_until = began, now
-        self.previous_found_at, self.found_at, self.last_polled_at = self.found_at, self.last_polled_at, now
+        ended_at = monotonic()
+        if ended_at > polled_at + LONG_POLL:
+            if ready or timeout is None:
+                polled_at = ended_at
+                ready = super().select(0)
+            else:  # it found nothing for all of its time
+                polled_at += max(0.0, timeout)
+        for key, events in ready:
+            if events & selectors.EVENT_READ and key.fd not in self._empty_until:
+                self._empty_until[key.fd] = self.empty_until(key.fd)
+        self._poll_number += 1
+        self._polled_at = polled_at
         return ready
 
-    def unread_since(self) -> float:
-        """Returns a time (monotonic seconds) after which everything that is read now has arrived.
+    def empty_until(self, descriptor: int) -> float:
+        """Returns until when a poll knows that a socket had nothing to read; `NEVER` if none does.
+
+        The descriptor has to be registered, or to have been found readable by its latest registration.
 
-        Some tasks need a further turn to wake: shortly after a stall, anything read may have arrived in it.
+        Returns:
+            Monotonic seconds.
         """
-        if monotonic() < self.stalled_until + STALL_EFFECT:
-            return min(self.previous_found_at, self.stalled_from)
-        return self.previous_found_at
+        if self._first_polls.get(descriptor, self._poll_number + 1) > self._poll_number:
+            return NEVER
+        return self._empty_until.get(descriptor, self._polled_at)
+
+    def forget(self, descriptor: int) -> None:
+        """Forgets what polls know of a descriptor, whose number another socket may get."""
+        self._first_polls.pop(descriptor, None)
+        self._empty_until.pop(descriptor, None)
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -1,8 +1,10 @@
 """The director with a scripted module: what it carries out, and what it tells."""
 
+import asyncio
 import gc
 import socket
 import threading
+import time
 import weakref
 
 import anyio
@@ -45,17 +47,28 @@
     """In a client's link's place: keeps what is written."""
 
     def __init__(self):
-        self.pending_frames, self.frames, self.unread_since = [], [], None
+        self.pending_frames, self.frames, self.unread_for = [], [], 0.0
 
     def write(self, pieces, tag=0, expires_at=None):
         self.frames.append(b"".join(pieces))
 
-    def read_now(self): ...
+    def empty_until(self):
+        return time.monotonic() - self.unread_for
+
+    def begin_at_last_data(self): ...
+
+    def catch_up(self, max_age): ...
 
     def finish(self):
         self.frames.append("finish")
 
 
+def run_polled(main):
+    """Runs `main(selector)` on an event loop with the selector of the program."""
+    selector = TimedSelector()
+    anyio.run(main, selector, backend_options={"loop_factory": lambda: asyncio.SelectorEventLoop(selector)})
+
+
 def came(stream, **fields):
     values = {"route": "film", "trace": TRACE, "patience": "9000", "entity": "7f3a9c21e0b4d655", **fields}
     return client_wire.RequestFrame(stream, values, b"")
@@ -67,9 +80,9 @@
     rows = [endpoint("s-00000001", one.address), endpoint("s-00000002", two.address)]
     told = read_director_config(configuration(rows, **other))
 
-    async def run():
+    async def run(selector):
         async with anyio.create_task_group() as tasks:
-            director = Director(told, ConnectionManager(tasks, told.limits, TimedSelector()))
+            director = Director(told, ConnectionManager(tasks, told.limits, selector))
             director.decisions.router = (
                 script(told.deployment, told.seed) if isinstance(script, type) else script
             )
@@ -88,7 +101,7 @@
             await scene(director, client, until)
             tasks.cancel_scope.cancel()
 
-    anyio.run(run)
+    run_polled(run)
     return script
 
 
@@ -380,7 +393,7 @@
     script = Scripted()
 
     async def scene(director, client, until):
-        director.manager.selector.previous_found_at -= 0.2
+        client.connection.unread_for = 0.2
         director.admit(client, came(1, patience="900"))
         director.monitor.loop_lag = 1000
         director.admit(client, came(2, patience="900", trace=TRACE[::-1]))
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -20,7 +20,6 @@
 from ironhinge.net.connection_manager import ConnectionManager
 from ironhinge.net.shutdown import drain
 from ironhinge.net.socket_calls import listen
-from ironhinge.net.system_calls import Remedy
 from ironhinge.net.timed_selector import TimedSelector
 from ironhinge.routing import Router
 from ironhinge.routing.request_state import RequestState
@@ -45,14 +44,14 @@
     row,
     settings,
 )
-from .test_director import TRACE, Scripted, ask, came, play
+from .test_director import TRACE, Scripted, ask, came, play, run_polled
 
 DENIED = 2
 
 
-def request(stream):
+def request(stream, trace=TRACE):
     """A request's bytes."""
-    fields = {"route": "film", "trace": TRACE, "patience": "9000", "entity": "7f3a9c21e0b4d655"}
+    fields = {"route": "film", "trace": trace, "patience": "9000", "entity": "7f3a9c21e0b4d655"}
     return b"".join(client_wire.frame(7, stream, client_wire.write_fields(fields)))
 
 
@@ -80,20 +79,20 @@
 def connected(scene):
     """Runs a scene with a link of a driver's and the plain socket at its other end; buffers are small."""
 
-    async def run():
+    async def run(selector):
         listener = listen(Address("127.0.0.1", 0))
         peer = socket.socket()
         peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         peer.connect(listener.getsockname())
         async with anyio.create_task_group() as tasks:
-            driver, heard = ConnectionManager(tasks, ResourceLimits(0, 0), TimedSelector()), Heard()
+            driver, heard = ConnectionManager(tasks, ResourceLimits(0, 0), selector), Heard()
             driver.adopt(listener.accept()[0], heard)
             heard.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             with anyio.fail_after(PATIENCE):
                 await scene(heard, peer)
             tasks.cancel_scope.cancel()
 
-    anyio.run(run)
+    run_polled(run)
 
 
 async def all_of(peer):
@@ -473,60 +472,6 @@
     assert len(node.wanted) == 1
 
 
-class BusyPoll:
-    """The event loop has just looked at its sockets."""
-
-    def unread_since(self):
-        return time.monotonic()
-
-
-@pytest.mark.parametrize("where", ["backlog", "failing recv"])
-def test_a_request_that_waited_unread_has_that_much_less_time(where, monkeypatch):
-    """It waited to be accepted, or could not be read: its client has counted on."""
-    script = Scripted(RequestReceived=[lambda now: [interface.RejectRequest(TRACE, 0)]])
-
-    async def scene(director, _, until):
-        listener = listen(Address("127.0.0.1", 0))
-        peer = socket.create_connection(listener.getsockname())
-        client = ClientConnection(director)
-        director.monitor.selector = director.manager.selector = BusyPoll()
-        if where == "backlog":
-            peer.sendall(request(1))
-            director.manager.backlog_empty_at = time.monotonic() - 0.5
-            await anyio.sleep(0.3)  # the event loop has its turns, and the backlog is not looked at
-        director.manager.adopt(listener.accept()[0], client)
-        if where == "failing recv":
-            plain, failing_until = director.manager.calls.receive, time.monotonic() + 0.3
-            short = lambda *args: (0, Remedy.PAUSE) if time.monotonic() < failing_until else plain(*args)  # noqa: E731
-            monkeypatch.setattr(director.manager.calls, "receive", short)
-            peer.sendall(request(1))
-        await until(lambda: script.got(interface.RequestReceived))
-        assert client.connection.unread_since is None or where == "backlog"
-
-    play(script, scene)
-    (came_,) = script.got(interface.RequestReceived)
-    assert (
-        9000 * 10 - 4000 < came_.time_remaining <= 9000 * 10 - 2000
-    )  # 0.3 s, less the 50 ms that are allowed
-
-
-def test_what_came_while_the_program_was_stopped_is_known_to_have_waited():
-    """A task that takes a turn more to wake reads it when two looks have gone by since."""
-    poll, pair = TimedSelector(), socket.socketpair()
-    poll.register(pair[0], 1)
-    poll.select(0)
-    began = time.monotonic()
-    pair[1].send(b"x")
-    time.sleep(0.1)  # the program is stopped
-    for _ in range(4):
-        poll.select(0)
-        assert poll.unread_since() <= began
-    poll.stalled_until -= 1.0
-    assert poll.unread_since() > began
-    for each in pair:
-        each.close()
-
-
 def test_room_is_made_for_new_connections_while_the_program_ends():
     """Clients that rest hold all descriptors: they have been told of the end, and can go for others."""
 
@@ -554,51 +499,6 @@
     play(Scripted(RequestReceived=[lambda now: [interface.RejectRequest(TRACE, 0)]]), scene)
 
 
-def test_an_attempt_does_not_begin_for_a_client_whose_end_was_not_read_yet():
-    """The request and the end of its connection are found together; the connection to the node is up."""
-    node, other = FakeNode(holds_all=True), TRACE[::-1]
-    script = Scripted(RequestReceived=[ask(name=other), ask()])
-
-    async def scene(director, first, until):
-        director.admit(first, came(1, trace=other))
-        director.manager.flush()
-        await until(lambda: script.got(interface.AttemptFinished))
-        listener = listen(Address("127.0.0.1", 0))
-        peer = socket.create_connection(listener.getsockname())
-        director.manager.adopt(listener.accept()[0], ClientConnection(director))
-        director.manager.selector.previous_found_at = (
-            time.monotonic() - 0.2
-        )  # the program was kept from running for a while
-        peer.sendall(request(1))
-        peer.shutdown(socket.SHUT_RDWR)
-        await until(lambda: len(script.got(interface.AttemptFinished)) == 2)
-
-    play(script, scene, (node, node))
-    assert [end.result for end in script.got(interface.AttemptFinished)] == [
-        "done",
-        "unsent",
-    ]
-    assert node.wanted == {other}
-
-
-def test_the_time_an_attempt_names_is_what_is_left_when_it_is_written():
-    """It waited for its connection for a while."""
-    node = FakeNode(holds_all=True)
-    script = Scripted(RequestReceived=[lambda now: [interface.SendAttempt(TRACE, "s-00000001", now + 20000)]])
-
-    async def scene(director, client, until):
-        director.admit(client, came(1))
-        (link,) = director.pool.upstreams["s-00000001"].connections
-        pump, link.connection.send_pending = link.connection.send_pending, lambda: None
-        await anyio.sleep(0.3)
-        link.connection.send_pending = pump
-        pump()
-        await until(lambda: script.got(interface.AttemptFinished))
-
-    play(script, scene, (node, node))
-    assert 1500 < int(node.next()[2]["ms"]) <= 1700
-
-
 def test_a_repeat_that_waits_past_the_window_is_never_sent():
     """Guards 'no effect twice': repeats are dropped for a while, and the connection comes up after that."""
     late = lambda now: [interface.SendAttempt(TRACE, "s-00000001", now + 90000, now + 200)]  # noqa: E731
--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -3,14 +3,24 @@
 Where a test sleeps without giving way to the event loop, the process is kept from running.
 """
 
+import socket
 import time
 
+import anyio
+import pytest
+
 from ironhinge import interface
+from ironhinge.config import Address
 from ironhinge.net import director
+from ironhinge.net.client_connection import ClientConnection
+from ironhinge.net.socket_calls import listen
+from ironhinge.net.system_calls import Remedy
+from ironhinge.net.timed_selector import TimedSelector
 from ironhinge.routing import Router
 
 from .helpers import FakeNode
-from .test_director import TRACE, Scripted, came, play
+from .test_director import TRACE, Scripted, ask, came, play
+from .test_moments import request
 
 PATIENCE_TICKS = 90000  # of the requests here, in tenths of a millisecond
 ALLOWED_TICKS = 500  # by which the protocol extends each limit
@@ -36,6 +46,13 @@
     time.sleep(seconds)
 
 
+async def connect_upstream(one, client, script, until):
+    """Has one request answered, so that the connection to the first node is up."""
+    one.admit(client, came(1, trace=OTHER))
+    one.manager.flush()
+    await until(lambda: script.got(interface.AttemptFinished))
+
+
 def test_a_stop_between_reading_a_request_and_deciding_counts(monkeypatch):
     """Guards the deadline of a request: it was counted from the decision, and the wait up to the reading."""
     script, plain = rejects(), director.read_request
@@ -55,6 +72,170 @@
     assert left <= PATIENCE_TICKS - 2000 + ALLOWED_TICKS
 
 
+@pytest.mark.parametrize("where", ["backlog", "failing recv"])
+def test_a_request_that_waited_unread_has_that_much_less_time(where, monkeypatch):
+    """It waited to be accepted, or could not be read: its client has counted on."""
+    script = rejects()
+
+    async def scene(one, _, until):
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.create_connection(listener.getsockname())
+        client = ClientConnection(one)
+        if where == "backlog":
+            peer.sendall(request(1))
+            one.manager.backlog_empty_at = time.monotonic() - 0.5
+            await anyio.sleep(0.3)  # the event loop has its turns, and the backlog is not looked at
+        one.manager.adopt(listener.accept()[0], client)
+        if where == "failing recv":
+            one.manager.backlog_empty_at = time.monotonic()
+            plain, failing_until = one.manager.calls.receive, time.monotonic() + 0.3
+            short = lambda *args: (0, Remedy.PAUSE) if time.monotonic() < failing_until else plain(*args)  # noqa: E731
+            monkeypatch.setattr(one.manager.calls, "receive", short)
+            peer.sendall(request(1))
+        sent_at = time.monotonic()
+        await until(lambda: script.got(interface.RequestReceived))
+        await until(lambda: client.connection.empty_until() > sent_at)
+
+    play(script, scene)
+    (left,) = time_remaining(script)
+    # 0.3 s, less the 50 ms that are allowed
+    assert PATIENCE_TICKS - 4000 < left <= PATIENCE_TICKS - 2000
+
+
+def test_only_the_last_of_several_requests_in_the_backlog_is_as_young_as_its_data():
+    """The system tells when the last data came; what came before it has waited for longer."""
+    script = rejects(2)
+
+    async def scene(one, _, until):
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.create_connection(listener.getsockname())
+        one.manager.backlog_empty_at = time.monotonic()
+        peer.sendall(request(1))
+        await anyio.sleep(0.4)
+        peer.sendall(request(3, OTHER))
+        one.manager.adopt(listener.accept()[0], ClientConnection(one))
+        await until(lambda: len(script.got(interface.RequestReceived)) == 2)
+
+    play(script, scene)
+    first, second = time_remaining(script)
+    assert first <= PATIENCE_TICKS - 4000 + ALLOWED_TICKS
+    assert second > PATIENCE_TICKS - 1000
+
+
+class LateListener:
+    """A listener whose first `accept` finds nothing; then a request comes while the process is stopped."""
+
+    def __init__(self):
+        self.sock, self.peer = listen(Address("127.0.0.1", 0)), None
+
+    def accept(self):
+        if self.peer is None:
+            self.peer = socket.create_connection(self.sock.getsockname())
+            self.peer.sendall(request(1))
+            stop(0.3)
+            raise BlockingIOError
+        return self.sock.accept()
+
+    def fileno(self):
+        return self.sock.fileno()
+
+
+def test_a_stop_after_the_backlog_was_found_empty_counts():
+    """Guards requests on new connections: the backlog was taken for empty until the end of the stop."""
+    script = rejects()
+
+    async def scene(one, _, until):
+        make_client = lambda: ClientConnection(one)  # noqa: E731
+        one.manager.task_group.start_soon(
+            one.manager.accept, LateListener(), make_client, one.clients.reclaim_descriptor
+        )
+        await until(lambda: script.got(interface.RequestReceived))
+
+    play(script, scene)
+    (left,) = time_remaining(script)
+    assert left <= PATIENCE_TICKS - 3000 + ALLOWED_TICKS
+
+
+@pytest.mark.parametrize("turns", [1, 2, 5])
+def test_what_came_while_the_program_was_stopped_is_known_to_have_waited(turns):
+    """Some tasks take more turns to wake, and turns are long after a stop: the stop is not forgotten."""
+    poll, pair = TimedSelector(), socket.socketpair()
+    poll.register(pair[0], 1)
+    descriptor = pair[0].fileno()
+    poll.select(0)
+    began = time.monotonic()
+    pair[1].send(b"x")
+    stop(0.1)
+    for _ in range(turns):
+        poll.select(0)
+        assert poll.empty_until(descriptor) <= began
+        stop(0.04)  # a long turn of the event loop
+    poll.unregister(pair[0])
+    pair[0].recv(1)
+    poll.register(pair[0], 1)
+    assert poll.empty_until(descriptor) <= began  # no poll has looked at it since
+    poll.select(0)
+    assert poll.empty_until(descriptor) > began + 0.1
+    for each in pair:
+        each.close()
+
+
+def test_a_poll_says_nothing_of_a_socket_that_it_did_not_look_at():
+    """Data may arrive after a read and before the socket is registered, with polls in between."""
+    poll, pair = TimedSelector(), socket.socketpair()
+    descriptor = pair[0].fileno()
+    began = time.monotonic()
+    pair[1].send(b"x")
+    stop(0.1)
+    poll.select(0)
+    poll.register(pair[0], 1)
+    poll.select(0)
+    assert poll.empty_until(descriptor) <= began
+    for each in pair:
+        each.close()
+
+
+def test_a_poll_that_waited_for_another_socket_knows_what_its_end_was():
+    """Else each request would seem to have waited for as long as the program rested before it."""
+    poll, pair, other = TimedSelector(), socket.socketpair(), socket.socketpair()
+    for each in (pair, other):
+        poll.register(each[0], 1)
+    poll.select(0)
+    rested_from = time.monotonic()
+    poll.select(0.1)
+    assert poll.empty_until(pair[0].fileno()) >= rested_from + 0.1
+    other[1].send(b"x")
+    stop(0.05)
+    looked_at = time.monotonic()
+    poll.select(0.1)
+    assert poll.empty_until(other[0].fileno()) < looked_at - 0.04
+    assert poll.empty_until(pair[0].fileno()) >= looked_at
+    for each in (*pair, *other):
+        each.close()
+
+
+def test_an_attempt_does_not_begin_for_a_client_whose_end_was_not_read_yet():
+    """The request and the end of its connection are found together; the connection to the node is up."""
+    node = FakeNode(holds_all=True)
+    script = Scripted(RequestReceived=[ask(name=OTHER), ask()])
+
+    async def scene(one, first, until):
+        await connect_upstream(one, first, script, until)
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.create_connection(listener.getsockname())
+        one.manager.backlog_empty_at = time.monotonic()
+        one.manager.adopt(listener.accept()[0], ClientConnection(one))
+        await anyio.sleep(0.05)
+        peer.sendall(request(1))
+        peer.shutdown(socket.SHUT_RDWR)
+        stop(0.2)
+        await until(lambda: len(script.got(interface.AttemptFinished)) == 2)
+
+    play(script, scene, (node, node))
+    assert [end.result for end in script.got(interface.AttemptFinished)] == ["done", "unsent"]
+    assert node.wanted == {OTHER}
+
+
 def test_real_decisions_have_no_more_time_than_the_client(monkeypatch):
     """The same with the real router: what it tells the cache is what the client has left."""
     node, plain = FakeNode(holds_all=True), director.read_request
