A command that was rendered a while ago is rendered anew before it is sent

Servers were told more time than the client had left when the program was stopped between the rendering of a command, which works out the time, and the system call that sends it. Only that attempt was wrong.

Cause: all frames of a connection are rendered into its ring first, then sent; nothing looked at the clock again. Found by reading for the same fault elsewhere; a stop of 0.3 s in between forces it.

The connection remembers when the oldest unsent frame in its ring was rendered. If that is over 20 ms ago when the ring is to be sent, frames that have not begun go back to the queue and are rendered again (which also looks anew whether the client has left). What remains: a stop in the few instructions between that look and send(2), and a frame of which the system took only a part.

Without the change test_a_stop_between_rendering_a_command_and_sending_it_counts fails with `assert 2000 <= ((2000 - 300) + 150)`.

--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -9,6 +9,7 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
+from math import inf
 from time import monotonic
 from typing import Protocol
 
@@ -29,6 +30,7 @@
 READS_PER_TURN = 8  # reads of one connection before other tasks run
 IMMEDIATE_READS = 4  # reads by `read_now`: one may be short, or fail for a moment
 DISCARD_INTERVAL = 0.01  # seconds between reads of data that is discarded
+MAX_RENDERED_AGE = 0.02  # seconds between the rendering of a frame and its sending
 RECENTLY_EMPTY = 0.03  # seconds for which it counts that a connection had nothing unread
 
 EMPTY_BUFFER = RingBuffer(0)
@@ -93,6 +95,7 @@
         self.queued_bytes = 0  # size of the pending frames
         self.buffered_offset = 0  # bytes ever put into the outbound ring
         self.sent_offset = 0  # bytes ever accepted by the system
+        self.rendered_at = inf  # when the oldest frame in the ring that has not been sent was rendered
         self.is_connected = self.is_closed = self.is_finishing = False
         self.write_side_closed = False  # our side has been shut down
         self.no_delay = False  # TCP_NODELAY is on
@@ -172,6 +175,9 @@
         """Returns DONE once everything is sent, else why the system accepts no more."""
         while self.sock is not None and not self.is_closed:
             self._fill_ring()
+            if monotonic() > self.rendered_at + MAX_RENDERED_AGE:
+                self._unfill_ring()  # what was rendered tells a time, and has to be rendered anew
+                self._fill_ring()
             data = self.outbound.readable()
             if not data:
                 break
@@ -183,6 +189,8 @@
             self.sent_offset += count
             while self.buffered_frames and self.is_written(self.buffered_frames[0]):
                 self.buffered_frames.popleft()
+            if not self.buffered_frames:
+                self.rendered_at = inf
         return Remedy.DONE
 
     def _fill_ring(self) -> None:
@@ -208,6 +216,7 @@
     def _render_frame(self, frame: Frame) -> bool:
         """Renders the first pending frame; False if that withdrew the frame or closed the connection."""
         assert frame.render is not None
+        self.rendered_at = min(self.rendered_at, monotonic())
         pieces = frame.render()
         if self.is_closed or not self.pending_frames or self.pending_frames[0] is not frame:
             return False
@@ -222,6 +231,7 @@
         While a peer does not read, these frames can still be withdrawn: a graceful shutdown, a purge or a
         disconnected client must find them not begun.
         """
+        self.rendered_at = inf
         while self.buffered_frames:
             frame = self.buffered_frames[-1]
             if frame.ring_start is None or frame.ring_start < self.sent_offset:
--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -11,7 +11,7 @@
 
 from ironhinge import interface
 from ironhinge.config import Address
-from ironhinge.net import director
+from ironhinge.net import attempts, director
 from ironhinge.net.client_connection import ClientConnection
 from ironhinge.net.socket_calls import listen
 from ironhinge.net.system_calls import Remedy
@@ -72,6 +72,30 @@
     assert left <= PATIENCE_TICKS - 2000 + ALLOWED_TICKS
 
 
+def test_a_stop_between_rendering_a_command_and_sending_it_counts(monkeypatch):
+    """Guards the time that a server is told: it was worked out, and sent a while later."""
+    node, plain = FakeNode(holds_all=True), attempts.set_time_remaining
+    script = Scripted(RequestReceived=[ask(name=OTHER), ask(after=20000)])
+
+    async def scene(one, client, until):
+        await connect_upstream(one, client, script, until)
+        stops = [0.3]
+
+        def render_and_stop(*args):
+            plain(*args)
+            if stops:
+                stop(stops.pop())
+
+        monkeypatch.setattr(attempts, "set_time_remaining", render_and_stop)
+        one.admit(client, came(2))
+        one.manager.flush()
+        await until(lambda: len(script.got(interface.AttemptFinished)) == 2)
+
+    play(script, scene, (node, node))
+    node.next()
+    assert int(node.next()[2]["ms"]) <= 2000 - 300 + DEADLINE_SLACK_MS
+
+
 @pytest.mark.parametrize("where", ["backlog", "failing recv"])
 def test_a_request_that_waited_unread_has_that_much_less_time(where, monkeypatch):
     """It waited to be accepted, or could not be read: its client has counted on."""
