No attempt begins before the drains and purges that discovery has told are read

After a stop of the program a request could be read, and sent to a node, before the drain or purge that had come during the stop: with a stop longer than the grace, a drained node was used or a purged copy served.

Cause: connections are read in the order in which the event loop finds them, and nothing asked whether discovery had something unread. Found by reading for the same fault elsewhere.

The rendering of a command now first reads the connection to discovery if that can have had something unread for over 30 ms, as it does for the client's; what is told withdraws the attempt, and the request is decided anew. Likewise discovery is not taken for silent before its connection has been read.

Without the change test_an_attempt_does_not_begin_before_what_discovery_has_told_is_read fails for drain and purge alike: the second attempt is 'done' at the node, where 'unsent' is asked for.

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -43,6 +43,10 @@
 RecentAnswer = tuple[RequestReceived, upstream_wire.UpstreamAnswer]
 
 
+def _nothing_to_read(max_age: float) -> None:
+    """Stands in until `Attempts.catch_up_with_discovery` is set."""
+
+
 class RequestOwner(Protocol):
     """The director, as attempts see it."""
 
@@ -75,6 +79,7 @@
         self.timers: Timers
         self.traffic_account: TrafficAccount | None = None
         self.local_store: LocalCopyStore | None = None
+        self.catch_up_with_discovery: Callable[[float], None] = _nothing_to_read
         # answers that came just now, while they may be kept as copies
         self.recent_answers: dict[str, RecentAnswer] = {}
         self._config = config
@@ -138,9 +143,11 @@
     def _render_command(self, attempt: Attempt, fields: dict[str, str]) -> tuple[bytes, ...]:
         """An attempt's command, made when it begins to be written.
 
-        It may have waited for its connection, and its client may have left meanwhile, unread.
+        It may have waited for its connection. Its client may have left meanwhile, or discovery have told of a
+        drain or a purge, unread.
         """
         attempt.request.client.connection.catch_up(MAX_UNREAD)
+        self.catch_up_with_discovery(MAX_UNREAD)
         now = self._clock.now()
         if not attempt.is_finished and (attempt.request.is_closed or now >= attempt.deadline):
             was_withdrawn = attempt.withdraw()
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -86,6 +86,7 @@
         self.attempts = Attempts(config, self.clock, self.monitor, self.diagnostics, self)
         self.pool = UpstreamPool(manager, config.transport, self.clock, self)
         self.discovery = Discovery(config, manager, self.pool, self.clock, self)
+        self.attempts.catch_up_with_discovery = self.discovery.catch_up
         self.gossip = Gossip(config, manager.calls, self)
         router = Router(config.deployment, config.seed)
         self.decisions = DecisionLoop(
--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -144,6 +144,11 @@
             upstream.started_unix_ms = started_unix_ms
             upstream.started_at = self._clock.start_instant(started_unix_ms, self._caught_up_at)
 
+    def catch_up(self, max_age: float) -> None:
+        """Reads what the service has told, unless nothing older than `max_age` seconds can be unread."""
+        if self.connection is not None:
+            self.connection.connection.catch_up(max_age)
+
     async def follow(self) -> None:
         """Keeps a connection to the discovery service, wherever it is by now."""
         pause = MIN_RECONNECT_PAUSE
@@ -166,6 +171,8 @@
         while not current.closed.is_set():
             with anyio.move_on_after(self._clock.seconds(SILENCE_CHECK_INTERVAL)):
                 await current.closed.wait()
+            if self._clock.now() > current.last_received_at + SILENCE_TIMEOUT:
+                current.connection.read_now()  # it may be we who were late
             if self._clock.now() > current.last_received_at + SILENCE_TIMEOUT:
                 current.connection.close(AttemptEnd.TIMED_OUT)
 
--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -18,7 +18,7 @@
 from ironhinge.net.timed_selector import TimedSelector
 from ironhinge.routing import Router
 
-from .helpers import FakeNode
+from .helpers import FakeCoordinator, FakeNode, list_record
 from .test_director import TRACE, Scripted, ask, came, play
 from .test_moments import request
 
@@ -260,6 +260,33 @@
     assert node.wanted == {OTHER}
 
 
+@pytest.mark.parametrize("told", ["drain", "purge"])
+def test_an_attempt_does_not_begin_before_what_discovery_has_told_is_read(told):
+    """Guards drains and purges: after a stop a request may be read before them, and sent past their grace."""
+    node, coordinator = FakeNode(holds_all=True), FakeCoordinator()
+    script = Scripted(RequestReceived=[ask(name=OTHER), ask()])
+
+    async def scene(one, client, until):
+        one.manager.task_group.start_soon(one.discovery.follow)
+        await connect_upstream(one, client, script, until)
+        _, conn = coordinator.hellos.get(timeout=5)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await anyio.sleep(0.05)
+        if told == "drain":
+            coordinator.tell(2, 2, list_record("s-00000001", node.address, 1))
+        else:
+            now_ms = int(time.time() * 1000)
+            coordinator.tell(2, 3, bytes.fromhex("7f3a9c21e0b4d655") + now_ms.to_bytes(8, "big"))
+        stop(0.2)
+        one.admit(client, came(2))
+        one.manager.flush()
+        await until(lambda: len(script.got(interface.AttemptFinished)) == 2)
+
+    play(script, scene, (node, node), coordinator=coordinator.address)
+    assert [end.result for end in script.got(interface.AttemptFinished)] == ["done", "unsent"]
+    assert node.wanted == {OTHER}
+
+
 def test_real_decisions_have_no_more_time_than_the_client(monkeypatch):
     """The same with the real router: what it tells the cache is what the client has left."""
     node, plain = FakeNode(holds_all=True), director.read_request
