An answer that has arrived is read before its attempt times out

After a stop of the program an attempt whose answer had come in time could end as timed out: the request was tried again or failed, and the server was called off and counted as faulty.

Cause: when a deadline is due, the timers gave way for one turn of the event loop only; reading takes as many turns as it takes. Found by reading for the same fault elsewhere.

It costs one system call where something times out.

Without the change test_an_answer_that_came_in_time_is_read_before_its_attempt_times_out fails with ['done', 'timeout'] where ['done', 'done'] is asked for.

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -287,6 +287,8 @@
 
     def on_operation_due(self, operation: UpstreamOperation, due: int, now: int) -> None:
         """A deadline of an operation is due; it may have ended already."""
+        if not operation.is_finished and operation.connection is not None:
+            operation.connection.connection.read_now()  # an answer may have come in time
         if operation.is_finished:
             return
         if due == operation.start_deadline:
--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -287,6 +287,23 @@
     assert node.wanted == {OTHER}
 
 
+def test_an_answer_that_came_in_time_is_read_before_its_attempt_times_out():
+    """Guards requests in flight during a stop: the answer has arrived, and only its reading is late."""
+    node = FakeNode(holds_all=True)
+    script = Scripted(RequestReceived=[ask(name=OTHER), ask(after=1000)])
+
+    async def scene(one, client, until):
+        await connect_upstream(one, client, script, until)
+        one.admit(client, came(2))
+        one.manager.flush()
+        stop(0.2)
+        one.timers.fire_due()
+        assert len(script.got(interface.AttemptFinished)) == 2
+
+    play(script, scene, (node, node))
+    assert [end.result for end in script.got(interface.AttemptFinished)] == ["done", "done"]
+
+
 def test_real_decisions_have_no_more_time_than_the_client(monkeypatch):
     """The same with the real router: what it tells the cache is what the client has left."""
     node, plain = FakeNode(holds_all=True), director.read_request
