Settings: a bound of null is refused instead of ending the program

Cause: any scalar but a bool was taken for a bound, so null became a bound on numbers, and the first number that met it was compared with None. Null has no order: only `!=` may name it now; the others are refused with their location, as bounds of bools are.

Without the change test_null_has_no_order fails for <, <=, > and >= with `TypeError: '<' not supported between instances of 'int' and 'NoneType'`.

--- a/ironhinge/settings/evaluation.py
+++ b/ironhinge/settings/evaluation.py
@@ -80,7 +80,7 @@
 
 def _evaluate_bound(expression: BoundExpr, scope: Scope, path: str) -> Value:
     operand = resolve_default(evaluate(expression.operand, scope, path))
-    if not isinstance(operand, Scalar) or isinstance(operand.value, bool):
+    if not isinstance(operand, Scalar) or not _is_bound(expression.operator, operand.value):
         return _conflict(expression, path, f"a bound of {describe(operand)}", "a number or a text")
     if expression.operator is BoundOperator.MATCHES:
         problem = _pattern_problem(operand.value)
@@ -90,6 +90,13 @@
     return TypeConstraint(_bounded_kind(expression.operator, operand), None, bounds, expression.location)
 
 
+def _is_bound(operator: BoundOperator, operand: ScalarValue) -> bool:
+    """Returns whether values can be compared with a scalar: null has no order."""
+    if operand is None:
+        return operator is BoundOperator.NOT_EQUAL
+    return not isinstance(operand, bool)
+
+
 def _bounded_kind(operator: BoundOperator, operand: Scalar) -> Kind | None:
     if operator is BoundOperator.NOT_EQUAL:
         return None  # whatever is of another kind is not equal either
