Settings: records within themselves are refused instead of exhausting the stack

Cause: the walks for conflicts and for export follow every required field; a field that refers to a record around it has the same record again as its value, and a definition is evaluated anew each time. Only a value that needs itself while it is evaluated was found. Two records in a circle (`a: {b: c}, c: {d: a}`) go the same way.

A walk now refuses a record within another that is made of the same expressions (settings/cycles.py), a definition that is needed for its own evaluation is refused like a field, and a text nested too deep for the parser is refused with the file's location. Recursion that ends (optional fields, lists of any length) is allowed as before.

tests/test_settings_grammar.py draws 400 texts from the whole grammar.

--- /dev/null
+++ b/ironhinge/settings/cycles.py
@@ -0,0 +1,42 @@
+"""Records that contain themselves: every walk through the fields of records has to end."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+
+from .errors import Diagnostic
+from .values import Struct
+
+MAX_DEPTH = 60  # records within one another, as for brackets; guards the stack
+
+_Sources = frozenset[int]
+_walked: ContextVar[tuple[_Sources, ...]] = ContextVar("_walked", default=())
+
+
+@contextmanager
+def walk_into(struct: Struct) -> Iterator[Diagnostic | None]:
+    """Marks a record as being walked through for the time of the context.
+
+    Walks may be nested by evaluation, which looks for conflicts in the alternatives of a disjunction.
+
+    Yields:
+        Why the record must not be walked through; None if it may be. A record is refused within another that
+        is made of the same expressions, as it would contain itself without end.
+    """
+    outer = _walked.get()
+    sources = frozenset(id(source.expression) for source in struct.sources)
+    if sources in outer:
+        yield Diagnostic(struct.location, struct.path, "a record within itself", "something that ends")
+        return
+    if len(outer) >= MAX_DEPTH:
+        yield Diagnostic(
+            struct.location, struct.path, f"more than {MAX_DEPTH} records", "fewer in one another"
+        )
+        return
+    token = _walked.set((*outer, sources))
+    try:
+        yield None
+    finally:
+        _walked.reset(token)
--- a/ironhinge/settings/disjunctions.py
+++ b/ironhinge/settings/disjunctions.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from .constraints import is_narrower, is_same_constraint
+from .cycles import walk_into
 from .errors import Diagnostic, SourceLocation
 from .values import (
     Alternative,
@@ -42,16 +43,23 @@
         case Conflict():
             return [value.diagnostic]
         case Struct():
-            diagnostics = list(value.diagnostics)
-            for name in value.fields:
-                if value.required[name] and not is_definition(name):
-                    diagnostics += conflicts_in(value.value(name))
-            return diagnostics
+            return _conflicts_in_struct(value)
         case ListValue(elements=elements) if elements is not None:
             return [diagnostic for element in elements for diagnostic in conflicts_in(element)]
     return []
 
 
+def _conflicts_in_struct(struct: Struct) -> list[Diagnostic]:
+    with walk_into(struct) as refusal:
+        if refusal is not None:
+            return [refusal]
+        diagnostics = list(struct.diagnostics)
+        for name in struct.fields:
+            if struct.required[name] and not is_definition(name):
+                diagnostics += conflicts_in(struct.value(name))
+        return diagnostics
+
+
 def disjoin(alternatives: Sequence[Alternative], location: SourceLocation, path: str) -> Value:
     """Returns the value that allows what any of the alternatives allows.
 
--- a/ironhinge/settings/evaluation.py
+++ b/ironhinge/settings/evaluation.py
@@ -150,7 +150,7 @@
     if record is None:
         return _evaluate_builtin(expression, scope, path)
     if is_definition(name):  # evaluated anew, at the path that refers to it
-        value = evaluate_conjuncts(_definition_conjuncts(record, name), path, record.locations[name])
+        value = _evaluate_definition(expression, record, name, path)
     else:
         value = record.value(name)
     for field_name in field_names:
@@ -186,6 +186,16 @@
     return _conflict(expression, path, f"the unknown name '{name}'", expected)
 
 
+def _evaluate_definition(expression: ReferenceExpr, record: Struct, name: str, path: str) -> Value:
+    if name in record.evaluating:
+        return _conflict(expression, path, "a reference to itself", "something that ends")
+    record.evaluating.add(name)
+    try:
+        return evaluate_conjuncts(_definition_conjuncts(record, name), path, record.locations[name])
+    finally:
+        record.evaluating.discard(name)
+
+
 def _definition_conjuncts(record: Struct, name: str) -> list[Conjunct]:
     """Returns what a definition holds where it is referred to; a closing one allows no further fields."""
     return [
--- a/ironhinge/settings/export.py
+++ b/ironhinge/settings/export.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .cycles import walk_into
 from .description import describe
 from .disjunctions import resolve_default
 from .errors import Diagnostic, SourceLocation
@@ -66,6 +67,13 @@
         return None
 
     def _export_struct(self, struct: Struct, path: str) -> dict[str, Any]:
+        with walk_into(struct) as refusal:
+            if refusal is not None:
+                self.exported.diagnostics.append(refusal._replace(path=path))
+                return {}
+            return self._export_fields(struct, path)
+
+    def _export_fields(self, struct: Struct, path: str) -> dict[str, Any]:
         self.exported.diagnostics += struct.diagnostics
         plain: dict[str, Any] = {}
         for name in struct.fields:
--- a/ironhinge/settings/parser.py
+++ b/ironhinge/settings/parser.py
@@ -177,11 +177,19 @@
     try:
         return TreeBuilder(file).transform(parser().parse(text))
     except VisitError as error:
+        if isinstance(error.orig_exc, RecursionError):  # names behind one another need no brackets
+            raise _depth_error(file) from None
         raise error.orig_exc from None
+    except RecursionError:
+        raise _depth_error(file) from None
     except UnexpectedInput as error:
         raise _syntax_error(error, text, file) from None
 
 
+def _depth_error(file: str) -> ConfigSyntaxError:
+    return ConfigSyntaxError(SourceLocation(file, 1, 1), "records nested too deep", "fewer in one another")
+
+
 def _check_nesting(text: str, file: str) -> None:
     depth = 0
     for number, line in enumerate(text.split("\n"), 1):
--- a/ironhinge/settings/values.py
+++ b/ironhinge/settings/values.py
@@ -152,6 +152,7 @@
         required: Whether a field is part of the result, by name.
         locations: Where a field is declared, by name; preferably not in the schema.
         diagnostics: Its unknown fields.
+        evaluating: The fields and definitions whose values are being evaluated.
     """
 
     def __init__(self, sources: list[RecordSource], path: str) -> None:
@@ -163,7 +164,7 @@
         self.locations: dict[str, SourceLocation] = {}
         self.diagnostics: list[Diagnostic] = []
         self._values: dict[str, Value] = {}
-        self._evaluating: set[str] = set()
+        self.evaluating: set[str] = set()
         scopes = [
             Scope(self, source.scope, source.closed, source.scope.closes_definitions) for source in sources
         ]
@@ -179,13 +180,13 @@
         if name not in self._values:
             path = join_path(self.path, name)
             location = self.locations[name]
-            if name in self._evaluating:
+            if name in self.evaluating:
                 return Conflict(Diagnostic(location, path, "a reference to itself", "something that ends"))
-            self._evaluating.add(name)
+            self.evaluating.add(name)
             try:
                 self._values[name] = evaluate_conjuncts(self.fields[name], path, location)
             finally:
-                self._evaluating.discard(name)
+                self.evaluating.discard(name)
         return self._values[name]
 
     def _declare_fields(self, source: RecordSource, scope: Scope) -> None:
--- a/tests/test_settings_grammar.py
+++ b/tests/test_settings_grammar.py
@@ -1,11 +1,79 @@
 """Whatever the grammar of the settings language allows is loaded or refused, and never ends the program."""
 
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 
 from ironhinge.settings.errors import InvalidSettingsError
 from ironhinge.settings.load import load_texts
 
+MANY = settings(max_examples=400)
+
+NAMES = st.sampled_from(["a", "b", "#c", "traffic", "budgets", "disk", "folder", "room", "rate", "x"])
+PATHS = st.lists(NAMES, min_size=1, max_size=3).map(".".join)
+LITERALS = st.sampled_from(
+    [
+        *("0", "-1", "2", "1.5", "1e999", "9" * 39, '""', '"a"', '"2TB"', '"40MB/s"', '"1s"', '"("'),
+        *("null", "true", "int", "number", "string", "bool", "Size", "Rate", "Span"),
+        *("#Budget", "#Traffic", "#Operations", "#Way", "#none"),
+    ]
+)
 ORDER_OPERATORS = ["<", "<=", ">", ">="]
+OPERATORS = st.sampled_from([*ORDER_OPERATORS, "!=", "=~"])
+
+
+def join_fields(fields):
+    """The declarations of a record."""
+    return ", ".join(f"{name}{mark}: {text}" for name, mark, text in fields)
+
+
+def composites(inner):
+    """Expressions made of expressions."""
+    fields = st.lists(st.tuples(NAMES, st.sampled_from(["", "?"]), inner), max_size=3)
+    pair = st.tuples(inner, inner)
+    return st.one_of(
+        pair.map(lambda parts: f"({parts[0]} & {parts[1]})"),
+        pair.map(lambda parts: f"({parts[0]} | {parts[1]})"),
+        pair.map(lambda parts: f"(*{parts[0]} | {parts[1]})"),
+        st.tuples(OPERATORS, inner).map(lambda parts: f"{parts[0]}({parts[1]})"),
+        st.lists(inner, max_size=2).map(lambda parts: f"[{', '.join(parts)}]"),
+        inner.map(lambda text: f"[...{text}]"),
+        fields.map(lambda parts: f"{{{join_fields(parts)}}}"),
+        st.tuples(fields, inner).map(lambda parts: f"{{{join_fields(parts[0])}, [string]: {parts[1]}}}"),
+        fields.map(lambda parts: f"{{{join_fields(parts)}, ...}}"),
+    )
+
+
+EXPRESSIONS = st.recursive(st.one_of(LITERALS, PATHS), composites, max_leaves=8)
+FILES = st.lists(st.tuples(NAMES, st.sampled_from(["", "?"]), EXPRESSIONS), max_size=4).map(join_fields)
+
+
+def load_or_refuse(text):
+    """Loads a text; what is refused has a location in the text or the schema for each problem."""
+    try:
+        load_texts([("f", text)])
+    except InvalidSettingsError as error:
+        locations = [diagnostic.location for diagnostic in error.diagnostics]
+        assert locations
+        assert {location.file for location in locations} <= {"f", "schema.cue"}
+        assert all(location.line >= 1 for location in locations)
+
+
+@MANY
+@given(FILES)
+@example("a: {b: a}")
+@example("a: [a]")
+@example("a: {[string]: a, b: {}}")
+@example("a: b, b: {c: a}")
+@example("#c: {b: #c}, x: #c")
+@example("#c: {b: #c, d: #c}, x: #c")
+@example("#c: {b: #c | null}, x: #c")
+@example("#c: #c, x: #c")
+@example("#c: [#c], x: #c")
+@example("a: {b: c}, c: {d: a}")
+@example("a: " * 2000 + "1")
+def test_whatever_the_grammar_allows_is_loaded_or_refused(text):
+    load_or_refuse(text)
 
 
 @pytest.mark.parametrize("operator", ORDER_OPERATORS)
@@ -13,3 +81,10 @@
     """Guards the comparison of a number with null, which ended the program."""
     with pytest.raises(InvalidSettingsError, match="a bound of null"):
         load_texts([("f", f"disk: entries: int & {operator}null & 3")])
+
+
+@pytest.mark.parametrize(
+    "field", ["traffic", "disk", "traffic: budgets", "traffic: budgets: a", "traffic: prices"]
+)
+def test_records_within_themselves_are_refused_wherever_they_stand(field):
+    load_or_refuse(f"{field}: {{b: {field.split(':')[0]}}}")
