A rollout ends where a command's answer tells of a conflict

Operators saw a rollout that had been reported as ended in a conflict go on: it sent its change to the members that were left, over the heads of the operator whose change it had met, and could end a second time.

Cause: after an answer that finishes the rollout, `handle` still advanced it, and that set the state from 'finished' back to 'rolling'. A conflict told in a status report returned at once, and so was right.

Nothing is advanced once the rollout is finished. Without the change test_a_conflict_in_a_commands_answer_ends_the_rollout fails: the state is 'rolling' after the conflict.

--- a/ironhinge/fleet/rollout.py
+++ b/ironhinge/fleet/rollout.py
@@ -173,6 +173,8 @@
                     )
             case CommandAnswered(name=name) if name in self._members:
                 actions += self._on_command_answered(now, event)
+        if self.state is RolloutState.FINISHED:  # the answer told of a conflict
+            return actions
         return actions + self._advance(now)
 
     def _record_status(self, now: int, status: MemberStatus) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -436,3 +436,19 @@
         for end in ends
         if end.outcome is RolloutOutcome.CONFLICT
     )
+
+
+def test_a_conflict_in_a_commands_answer_ends_the_rollout():
+    """Guards the other operator's change, and members that the ended rollout would go on to change."""
+    rollout, fleet, now = new_rollout(), Fleet(8, loss=0.0), 0
+    (sent,) = [each for each in rollout.handle(now, RolloutTimePassed()) if type(each) is SendCommand]
+    agent = fleet.agents[sent.name]
+    accept(agent, "of bob", 3, spec=(("n", "his"),))
+    result = agent.handle(PendingCommand(sent.command, now))[-1]
+    (end,) = rollout.handle(now, CommandAnswered(sent.name, result))
+    assert end.outcome is RolloutOutcome.CONFLICT
+    assert rollout.state is RolloutState.FINISHED
+    for later in range(RESEND_INTERVAL, 4 * SOAK_TIME, RESEND_INTERVAL):
+        for event in (RolloutTimePassed(), *map(fleet.status, fleet.agents)):
+            assert rollout.handle(later, event) == []
+    assert fleet.on_new() == []
