An endpoint may change its zone while an attempt is in flight there

The 'done' of such an attempt raised KeyError in the decisions where the attempt had no fill: the fault was logged with a dump of the event log, nothing was learned from the answer, and the request was forgotten by the decisions without its copy being stored.

Cause: whether a transfer crosses the ingress link was read from the endpoint list at the result, while the count of transfers on that link had been taken when the attempt was sent.

An attempt keeps the endpoint as it was listed when it was sent, and its result is judged by that. Without the change test_an_endpoint_may_change_its_zone_under_an_attempt fails with KeyError: <...upstreams.Path ...>.

--- a/ironhinge/routing/attempt_results.py
+++ b/ironhinge/routing/attempt_results.py
@@ -82,7 +82,7 @@
             request.request_class.record_transfer_time(duration)
         if filler is not None:
             self._record_success(now, attempt, filler, request.transfer_time)
-        if filler is not None or upstream.endpoint.zone != self._deployment.zone:
+        if filler is not None or attempt.endpoint.zone != self._deployment.zone:
             self._congestion.record_transfer(now, duration, request, self._upstreams.ingress_link)
         self._congestion.record_transfer(now, duration, request, filler or upstream)
 
--- a/ironhinge/routing/attempts.py
+++ b/ironhinge/routing/attempts.py
@@ -73,7 +73,7 @@
     def _track(self, now: int, request: RequestState, upstream: Upstream, source: Upstream | None) -> None:
         target = request.request_class.definition.target
         overdue_at = now + OVERDUE_MULTIPLE * request.transfer_time + target
-        attempt = request.attempt = Attempt(upstream, source, now, overdue_at)
+        attempt = request.attempt = Attempt(upstream, source, now, overdue_at, upstream.endpoint)
         request.attempt_count += 1
         request_id, in_flight_at_send = request.id, request.in_flight_at_send
         upstream.in_flight[request_id] = attempt
--- a/ironhinge/routing/upstreams.py
+++ b/ironhinge/routing/upstreams.py
@@ -20,6 +20,7 @@
     source: Upstream | None  # from which that fills a miss
     sent_at: int
     overdue_at: float  # without an answer by then, whoever owes it is suspected
+    endpoint: Endpoint  # the upstream as it was listed when the attempt was sent
 
 
 class Path:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -412,3 +412,14 @@
     keys = [random.getrandbits(64) for _ in range(count)] + [0, 2**64 - 1][:count]
     for number in (0, 2**64 - 1, random.getrandbits(64)):
         assert RendezvousHasher(keys).scores(number) == [score(number, key) for key in keys]
+
+
+def test_an_endpoint_may_change_its_zone_under_an_attempt():
+    """Guards the result of that attempt: whether it crosses the ingress link is decided when it is sent."""
+    router = make_router(names=("c0",))
+    command = sent_command(router.handle(10, received("a", size=50.0)))
+    assert type(command) is interface.SendAttempt
+    router.handle(20, interface.EndpointsUpdated(False, (endpoint("c0")._replace(zone=1),)))
+    router.handle(100, finished(command, "done"))
+    assert not router.requests
+    assert not router.upstreams.by_id["c0"].in_flight
