A keyed request is not repeated where its first endpoint has moved to

Callers could have a write take effect twice: after an attempt that may have run, a request of a class whose keys are known within a zone or cell was sent again by where the first endpoint is listed now. If that has moved meanwhile, the nodes around its new place have never heard of the key.

The repeat is judged by the endpoint as it was listed when the first attempt was sent. Without the change test_a_keyed_request_is_not_repeated_where_its_first_endpoint_has_moved_to fails for zone and cell: a second SendAttempt where FailRequest is asked for.

--- a/ironhinge/routing/retries.py
+++ b/ironhinge/routing/retries.py
@@ -21,7 +21,7 @@
     definition = request.request_class.definition
     if definition.idempotency == Idempotency.NON_IDEMPOTENT or now >= first.sent_at + definition.dedup_window:
         return False
-    scope, endpoint, first_endpoint = definition.dedup_scope, upstream.endpoint, first.upstream.endpoint
+    scope, endpoint, first_endpoint = definition.dedup_scope, upstream.endpoint, first.endpoint
     if scope == DedupScope.ZONE:
         return endpoint.zone == first_endpoint.zone
     if scope == DedupScope.CELL:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -423,3 +423,19 @@
     router.handle(100, finished(command, "done"))
     assert not router.requests
     assert not router.upstreams.by_id["c0"].in_flight
+
+
+@pytest.mark.parametrize("field", ["zone", "cell"])
+def test_a_keyed_request_is_not_repeated_where_its_first_endpoint_has_moved_to(field):
+    """Guards 'no effect twice': only the nodes around the place where it ran know its idempotency key."""
+    scope = {"zone": interface.DedupScope.ZONE, "cell": interface.DedupScope.CELL}[field]
+    request_class = deployment().request_classes[1]._replace(dedup_scope=scope)
+    facts = deployment(request_classes=(request_class,), direct_to_source=True)
+    router = make_router(facts, names=())
+    here, there = {"zone": 0, "cell": 0}, {"zone": 0, "cell": 0, field: 1}
+    router.handle(5, interface.EndpointsUpdated(True, (endpoint("c0")._replace(**here),)))
+    first = sent_command(router.handle(10, received("a", size=50.0)))
+    moved, other = endpoint("c0")._replace(**there), endpoint("c2")._replace(**there)
+    router.handle(20, interface.EndpointsUpdated(False, (moved, other, endpoint("o")._replace(**there))))
+    (command,) = router.handle(100, finished(first, "reset"))
+    assert type(command) is interface.FailRequest
