Rollout: a conflict in an answer returns at once, like one in a status report

Both conflicts now end `handle` the same way. tests/test_fleet.py: 29 passed, among them test_a_conflict_in_a_commands_answer_ends_the_rollout, unchanged.

--- a/ironhinge/fleet/rollout.py
+++ b/ironhinge/fleet/rollout.py
@@ -161,7 +161,6 @@
         """Applies an event at the instant `now` and returns what is to be done for it, in order."""
         if self.state is RolloutState.FINISHED:
             return []
-        actions: list[Action] = []
         match event:
             case SetPaused(paused=paused):
                 self._paused = paused
@@ -172,10 +171,10 @@
                         f"{name} stands at generation {event.generation} of {event.author}"
                     )
             case CommandAnswered(name=name) if name in self._members:
-                actions += self._on_command_answered(now, event)
-        if self.state is RolloutState.FINISHED:  # the answer told of a conflict
-            return actions
-        return actions + self._advance(now)
+                conflict = self._on_command_answered(now, event)
+                if conflict:
+                    return conflict
+        return self._advance(now)
 
     def _record_status(self, now: int, status: MemberStatus) -> None:
         self._last_contact[status.name] = now
@@ -183,6 +182,7 @@
         self._initial_crash_count.setdefault(status.name, status.crash_count)
 
     def _on_command_answered(self, now: int, event: CommandAnswered) -> list[Action]:
+        """Takes in an answer; returns the end of the rollout where it tells of a conflict."""
         self._last_contact[event.name] = now
         if event.result.accepted:
             return []
