Soak and lab: ports are reserved by the system, so runs may be played side by side

Cause: ports were drawn from the seed and looked at once. Each port is now chosen by the system and stays bound, by a socket that never listens, until the run ends: neither another run nor an outgoing connection gets it while its owner is down. The lab's directors and the tests' programs take theirs the same way, so the lab starts no director on a second port any more.

--- a/ironhinge/lab/director_process.py
+++ b/ironhinge/lab/director_process.py
@@ -6,16 +6,15 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
 from .errors import DirectorStartError
+from .ports import PortAllocator
 
 START_TIMEOUT = 15.0  # seconds
-START_ATTEMPTS = 5  # each on another port
 START_POLL_INTERVAL = 0.03  # seconds
 STOP_TIMEOUT = 12.0  # seconds until a director that does not end is killed
 LOG_EXCERPT = 600  # characters of the log in an error message
@@ -23,41 +22,37 @@
 USER_TIME_FIELD, SYSTEM_TIME_FIELD = 11, 12  # of /proc/PID/stat, after the program's name
 
 
-def free_port() -> int:
-    """Return a port that nobody has now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 class DirectorProcess:
     """A director, restarted at the same address."""
 
-    def __init__(self, folder: Path, name: str, config: dict[str, Any], operations: Path | None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        config: dict[str, Any],
+        operations: Path | None,
+        ports: PortAllocator,
+    ) -> None:
         """Create a director that is not started; `folder` gets its configuration and its log."""
         self.folder = folder
         self.name = name
         self.config = config
         self.operations = operations
-        self.port = 0
+        self.port = ports.allocate()
         self.cpu_seconds = 0.0
         self.memory_kb = 0
         self._process: asyncio.subprocess.Process | None = None
         self._starts = 0
 
     async def start(self) -> None:
-        """Start on a free port, or on another one if that was taken in the meantime.
+        """Start, and wait until it serves.
 
         Raises:
-            DirectorStartError: It did not come up on any of several ports.
+            DirectorStartError: It did not come up.
         """
-        for _ in range(START_ATTEMPTS):
-            self.port = self.port or free_port()
-            self._process = await self._spawn()
-            if await self._wait_until_serving():
-                return
-            self.port = 0
+        self._process = await self._spawn()
+        if await self._wait_until_serving():
+            return
         raise DirectorStartError(f"{self.name} does not come up: {self.log()[-LOG_EXCERPT:]}")
 
     async def _spawn(self) -> asyncio.subprocess.Process:
--- a/ironhinge/lab/errors.py
+++ b/ironhinge/lab/errors.py
@@ -12,7 +12,7 @@
 
 
 class PortsExhaustedError(LabError, RuntimeError):
-    """The port range reserved for a soak run has no free port left."""
+    """The system has no port left for a run."""
 
 
 class MalformedCommandError(LabError, ValueError):
--- a/ironhinge/lab/run.py
+++ b/ironhinge/lab/run.py
@@ -16,9 +16,10 @@
 from typing import Any
 
 from .control_plane import ControlPlane, EndpointState
-from .director_process import DirectorProcess, free_port
+from .director_process import DirectorProcess
 from .director_settings import KINDS, ZONES, platform_settings
 from .load_generator import LoadGenerator
+from .ports import PortAllocator, free_datagram_ports
 from .report import ORIGIN, OTHER_HUB, OWN_HUB, RunMeasurements, build_report, traffic_totals
 from .scenarios import Fault, FaultAction, Scenario, ScenarioRequest, generate_requests
 from .stand_ins import NodeKind, StandIn, StandInNetwork, StandInSpec
@@ -56,6 +57,7 @@
         self.network = StandInNetwork(scenario.link_rate)
         self.control_plane = ControlPlane(ZONES, KINDS)
         self.directors: list[DirectorProcess] = []
+        self.ports = PortAllocator()
         self.load: LoadGenerator
         self._tasks: list[asyncio.Task[None]] = []
         self._totals_at_restart: dict[str, int] | None = None
@@ -79,11 +81,12 @@
         await self._start_stand_ins()
         await self.control_plane.start()
         count = self.options.directors
-        gossip_ports = [free_port() for _ in range(count)] if self.options.share else []
+        gossip_ports = free_datagram_ports(count) if self.options.share else []
         for index in range(count):
             name = f"n{index}"
             config = self._director_config(index, gossip_ports)
-            self.directors.append(DirectorProcess(self.folder, name, config, self._write_operations(name)))
+            operations = self._write_operations(name)
+            self.directors.append(DirectorProcess(self.folder, name, config, operations, self.ports))
         self.progress(f"{len(self.network.nodes)} stand-ins up, starting {count} directors")
         await asyncio.gather(*(director.start() for director in self.directors))
 
@@ -164,6 +167,7 @@
         for node in self.network.nodes.values():
             await node.close()
         self.control_plane.close()
+        self.ports.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     # Load and faults
--- a/ironhinge/lab/soak/discovery.py
+++ b/ironhinge/lab/soak/discovery.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..ports import PortAllocator
 from . import wire
-from .ports import PortAllocator
 from .records import Notification, NotificationKind, Records
 from .servers import Node
 from .sockets import reset_connection
--- a/ironhinge/lab/soak/servers.py
+++ b/ironhinge/lab/soak/servers.py
@@ -10,9 +10,9 @@
 from enum import IntEnum
 from random import Random
 
+from ..ports import PortAllocator
 from . import wire
 from .plan import DIRECT_PATH, GROUPS, PURGE_SETTLES, DedupScope, Effect, NetworkPath, Plan
-from .ports import PortAllocator
 from .proxy import Proxy
 from .records import Arrival, Execution, Records
 from .sockets import READ_BYTES, reset_connection
@@ -76,7 +76,7 @@
         """Listen at a new port, behind a proxy where the plan has one.
 
         Raises:
-            PortsExhaustedError: The run has no port left.
+            PortsExhaustedError: The system has no port left.
         """
         port = self.fleet.ports.allocate()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -210,7 +210,7 @@
         self.plan = plan
         self.records = records
         self.rng = Random(plan.seed + 1)
-        self.ports = PortAllocator(plan.seed)
+        self.ports = PortAllocator()
         self.nodes: dict[str, Node] = {}
         self.proxies: list[Proxy] = []
         self.classes = {each.name: each for each in plan.classes}
@@ -239,9 +239,10 @@
             node.stop()
 
     def stop_proxies(self) -> None:
-        """Stop all proxies."""
+        """Stop all proxies and release the ports of the run."""
         for proxy in self.proxies:
             proxy.stop()
+        self.ports.close()
 
     def body(self, object_name: str, dated: float) -> bytes:
         """Return the bytes of a copy; they name it, so that an answer tells its object and age."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,6 +15,7 @@
 
 from ironhinge import interface
 from ironhinge.interface import DedupScope, EndpointState, Idempotency
+from ironhinge.lab.ports import PortAllocator
 from ironhinge.routing import Router
 
 PARENT, ORIGIN = 1, 2
@@ -363,10 +364,11 @@
     }
 
 
+PORTS = PortAllocator()  # for as long as the tests run
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    return PORTS.allocate()
 
 
 def exactly(sock, count):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,15 +1,16 @@
 """The soak's audit finds what must not be, and a few seeds of it pass."""
 
 import json
+import socket
 import subprocess
 import sys
 
 import pytest
 
 from ironhinge.lab.errors import MalformedCommandError
+from ironhinge.lab.ports import PortAllocator
 from ironhinge.lab.soak.audit import Audit
 from ironhinge.lab.soak.plan import draw_plan
-from ironhinge.lab.soak.ports import CONCURRENT_RUNS, FIRST_PORT, PORTS_PER_RUN, PortAllocator
 from ironhinge.lab.soak.records import (
     AnswerCode,
     AnswerRecord,
@@ -168,9 +169,19 @@
     assert draw_plan(7) != draw_plan(8)
 
 
-def test_each_seed_has_ports_of_its_own():
-    first, second = PortAllocator(7).allocate(), PortAllocator(8).allocate()
-    assert FIRST_PORT <= first < second < FIRST_PORT + CONCURRENT_RUNS * PORTS_PER_RUN
+def test_a_port_belongs_to_one_run_also_while_nobody_listens_there():
+    """Guards runs side by side: requests for one would come to the other, and be found as faults."""
+    first, second = PortAllocator(), PortAllocator()
+    reserved = [first.allocate() for _ in range(200)]
+    assert not {second.allocate() for _ in range(200)} & set(reserved)
+    with socket.create_server(("127.0.0.1", reserved[0])) as listener:
+        assert listener.getsockname()[1] == reserved[0]
+    for _ in range(200):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            assert sock.getsockname()[1] not in reserved
+    first.close()
+    second.close()
 
 
 def test_frames_are_decoded_byte_by_byte():
@@ -193,6 +204,17 @@
         reader.feed(b"GET / HTTP/1.1\r\n", 1.0)
 
 
+def test_two_runs_of_one_seed_may_be_played_side_by_side():
+    """Guards the soak beside CI's: with ports drawn from the seed each would find faults of the other."""
+    command = [sys.executable, "-m", "benchmarks.soak", "--seeds", "1", "--first", "103", "--seconds", "6"]
+    runs = [
+        subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True) for _ in range(2)
+    ]
+    for run in runs:
+        _, findings = run.communicate(timeout=60)
+        assert run.returncode == 0, findings[-4000:]
+
+
 def test_a_few_seeds_pass():
     """The whole of it is run by hand: see docs/soak.md."""
     command = [sys.executable, "-m", "benchmarks.soak", "--seeds", str(SEEDS), "--first", str(FIRST_SEED)]
