--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -44,9 +44,10 @@
 @click.option("--seconds", type=click.FloatRange(6.0), default=8.0, show_default=True, help="Of each seed.")
 @click.option("--jobs", type=click.IntRange(1), default=3, show_default=True, help="Seeds played at a time.")
 @click.option("--logs", type=click.Path(file_okay=False), help="Keeps the directors' logs of failed seeds.")
+@click.option("--stop-at-first", is_flag=True, help="Plays no further seeds after one that failed.")
 @click.option("--json", "as_json", is_flag=True, help="The sums as one JSON object on the last line.")
 def main(  # noqa: PLR0913 - one argument for each option
-    seeds: int, first: int, seconds: float, jobs: int, logs: str | None, as_json: bool
+    seeds: int, first: int, seconds: float, jobs: int, logs: str | None, stop_at_first: bool, as_json: bool
 ) -> None:
     """Play SEEDS seeds and judge them."""
     began = time.monotonic()
@@ -60,6 +61,9 @@
                 totals[name] += report[name]
             if any(report[name] for name in VIOLATIONS):
                 failed.append(report["seed"])
+                if stop_at_first:
+                    pool.shutdown(wait=False, cancel_futures=True)
+                    break
     elapsed = round(time.monotonic() - began, 1)
     summary = {"seeds": seeds, **totals, "failed_seeds": failed, "seconds": elapsed}
     if as_json:
--- a/ironhinge/lab/soak/clients.py
+++ b/ironhinge/lab/soak/clients.py
@@ -76,6 +76,7 @@
         self.kind = CLIENT_KINDS[self._rng.randrange(len(CLIENT_KINDS))]
         self.path = plan.client_paths[self._rng.randrange(len(plan.client_paths))]
         self._connection: ClientConnection | None = None
+        self._left_connections: list[ClientConnection] = []  # with requests that are still open
         self._deadline = 0.0
 
     async def run(self, deadline: float) -> None:
@@ -88,11 +89,12 @@
                 continue
             await self._act(connection)
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE))
-        connection = self._connection
-        if connection is not None and not connection.closed.is_set():
-            for request in list(connection.open_requests.values()):
-                await connection.wait(request, request.started_at + request.patience + ANSWER_GRACE)
-            connection.close()
+        connections = [*self._left_connections, self._connection]
+        for connection in connections:
+            if connection is not None and not connection.closed.is_set():
+                for request in list(connection.open_requests.values()):
+                    await connection.wait(request, request.started_at + request.patience + ANSWER_GRACE)
+                connection.close()
 
     async def _usable_connection(self) -> ClientConnection | None:
         """Return the open connection, or a new one; None if the director cannot be reached."""
@@ -101,7 +103,9 @@
         if connection is not None and not connection.closed.is_set():
             if not (obeys and connection.announced.is_set()):
                 return connection
-            if not connection.open_requests:
+            if connection.open_requests:
+                self._left_connections.append(connection)
+            else:
                 connection.close()
         port = self.target.port(self.path)
         if port is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from benchmarks.planted_faults import FAULTS, ROOT, plant
 from ironhinge.lab.errors import MalformedCommandError
 from ironhinge.lab.ports import PortAllocator
 from ironhinge.lab.soak.audit import Audit
@@ -243,3 +244,12 @@
     assert total["seeds"] == SEEDS
     assert total["requests"] > 100 * SEEDS
     assert not total["failed_seeds"]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
+def test_each_planted_fault_still_has_its_place(fault, tmp_path):
+    """Guards the check of the soak itself: benchmarks.planted_faults is run by hand."""
+    plant(fault, tmp_path)
+    planted = (tmp_path / "ironhinge" / fault.module).read_text()
+    assert planted != (ROOT / "ironhinge" / fault.module).read_text()
+    compile(planted, fault.module, "exec")
