Fewer calls a request in the reading path; known-red failures are printed whole

Taken back: one lookup of a descriptor's polls instead of two, no copy of a request that is decided within a millisecond of its reading, one look at the ring for each read.

--- a/benchmarks/planted_faults.py
+++ b/benchmarks/planted_faults.py
@@ -90,7 +90,7 @@
     PlantedFault(
         "stop before the decision missed",
         "net/decision_loop.py",
-        "        return self.request._replace(time_remaining=max(0, self.deadline - now))\n",
+        "        return self.request._replace(time_remaining=max(0, time_remaining))\n",
         "        return self.request\n",
     ),
     PlantedFault(
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -102,8 +102,9 @@
         self.is_receiving = False  # the receiver's `on_data` is running
         self.discarded_bytes = 0  # bytes that arrived after `finish`
         self.last_received_at = 0.0  # when data last arrived, in monotonic seconds
+        self.last_read_size = 0  # bytes for which the latest read had room
         self.empty_at = monotonic()  # what is read next has arrived after that; see `empty_until`
-        self.is_polled = False  # the read loop waits for the socket to be readable
+        self.polled_descriptor: int | None = None  # while the read loop waits for the socket to be readable
         self.backlog_data_at: float | None = None  # when the last data arrived that waited in the backlog
         self.task_count = 0  # tasks that use the socket
         self.cancel_scope = anyio.CancelScope()
@@ -326,7 +327,6 @@
         while self.sock is not None and not self.is_closed:
             if self.is_finishing and reads:  # a peer that sends without end must not use up the CPU
                 await anyio.sleep(DISCARD_INTERVAL)
-            size = len(self.inbound.writable())
             count, remedy = self._read_once()
             if self.is_closed:
                 return
@@ -342,30 +342,30 @@
             self.manager.flush()
             if self.is_closed:
                 return
-            if count < size and monotonic() < self.empty_at + RECENTLY_EMPTY:
+            if count < self.last_read_size and monotonic() < self.empty_at + RECENTLY_EMPTY:
                 await self._wait_until_readable()  # a short read: most probably nothing more is there
             elif reads % READS_PER_TURN == 0:
                 await lowlevel.checkpoint()
 
     async def _wait_until_readable(self) -> None:
         assert self.sock is not None
-        descriptor = self.sock.fileno()
-        self.is_polled = True
+        self.polled_descriptor = self.sock.fileno()
         try:
             await self.manager.calls.readable(self.sock)
         finally:
-            self.empty_at = self.empty_until()
-            self.is_polled = False
-            self.manager.selector.forget(descriptor)
+            empty_until = self.manager.selector.end_polling(self.polled_descriptor)
+            self.polled_descriptor = None
+            if empty_until > self.empty_at:
+                self.empty_at = empty_until
 
     def empty_until(self) -> float:
         """Returns until when the connection is known to have had nothing unread (monotonic seconds).
 
         Whatever is read now arrived after that, however long the process was kept from running.
         """
-        if not self.is_polled or self.sock is None:
+        if self.polled_descriptor is None:
             return self.empty_at
-        return max(self.empty_at, self.manager.selector.empty_until(self.sock.fileno()))
+        return max(self.empty_at, self.manager.selector.empty_until(self.polled_descriptor))
 
     def begin_at_last_data(self) -> None:
         """Notes that what is still to be handled ends with the last data that waited in the backlog."""
@@ -375,7 +375,8 @@
 
     def catch_up(self, max_age: float) -> None:
         """Reads what has arrived, unless nothing that is older than `max_age` seconds can be unread."""
-        if monotonic() > self.empty_until() + max_age:
+        oldest = monotonic() - max_age
+        if self.empty_at < oldest and self.empty_until() < oldest:
             self.read_now()
 
     def read_now(self) -> None:
@@ -401,7 +402,9 @@
         assert self.sock is not None
         ring = self.inbound
         began_at = monotonic()
-        count, remedy = self.manager.calls.receive(self.sock, ring.writable())
+        buffer = ring.writable()
+        self.last_read_size = len(buffer)
+        count, remedy = self.manager.calls.receive(self.sock, buffer)
         if remedy is Remedy.WAIT:
             self.empty_at = began_at
         if remedy in (Remedy.WAIT, Remedy.PAUSE):
--- a/ironhinge/net/decision_loop.py
+++ b/ironhinge/net/decision_loop.py
@@ -14,7 +14,9 @@
 
 from ..interface import Event, RequestReceived
 from ..routing import Router
-from .clock import Clock
+from .clock import MILLISECOND, Clock
+
+READING_TIME = MILLISECOND  # that may pass between the reading of a request and its decision, uncounted
 
 CommandHandlers = Mapping[type, Callable[[Any], None]]
 
@@ -27,7 +29,10 @@
 
     def as_of(self, now: int) -> RequestReceived:
         """The request with the time that is left now."""
-        return self.request._replace(time_remaining=max(0, self.deadline - now))
+        time_remaining = self.deadline - now
+        if time_remaining >= self.request.time_remaining - READING_TIME:
+            return self.request
+        return self.request._replace(time_remaining=max(0, time_remaining))
 
 
 class DecisionLoop:
--- a/ironhinge/net/timed_selector.py
+++ b/ironhinge/net/timed_selector.py
@@ -30,7 +30,8 @@
     def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
         """Registers like `selectors.DefaultSelector.register`."""
         key = super().register(fileobj, events, data)
-        self._begin_polling(key)
+        self._first_polls[key.fd] = self._poll_number + 1
+        self._empty_until.pop(key.fd, None)
         return key
 
     def modify(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
@@ -38,13 +39,10 @@
         was_polled = self.get_key(fileobj).events & selectors.EVENT_READ
         key = super().modify(fileobj, events, data)
         if not was_polled:
-            self._begin_polling(key)
+            self._first_polls[key.fd] = self._poll_number + 1
+            self._empty_until.pop(key.fd, None)
         return key
 
-    def _begin_polling(self, key: selectors.SelectorKey) -> None:
-        self._first_polls[key.fd] = self._poll_number + 1
-        self._empty_until.pop(key.fd, None)
-
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Polls the sockets like `selectors.DefaultSelector.select`, and records the times."""
         polled_at = monotonic()
@@ -57,8 +55,10 @@
             else:  # it found nothing for all of its time
                 polled_at += max(0.0, timeout)
         for key, events in ready:
-            if events & selectors.EVENT_READ and key.fd not in self._empty_until:
-                self._empty_until[key.fd] = self.empty_until(key.fd)
+            descriptor = key.fd
+            if events & selectors.EVENT_READ and descriptor not in self._empty_until:
+                was_polled_before = self._first_polls[descriptor] <= self._poll_number
+                self._empty_until[descriptor] = self._polled_at if was_polled_before else NEVER
         self._poll_number += 1
         self._polled_at = polled_at
         return ready
@@ -75,7 +75,8 @@
             return NEVER
         return self._empty_until.get(descriptor, self._polled_at)
 
-    def forget(self, descriptor: int) -> None:
-        """Forgets what polls know of a descriptor, whose number another socket may get."""
-        self._first_polls.pop(descriptor, None)
-        self._empty_until.pop(descriptor, None)
+    def end_polling(self, descriptor: int) -> float:
+        """Returns what `empty_until` does, and forgets it: another socket may get that number."""
+        if self._first_polls.pop(descriptor, self._poll_number + 1) > self._poll_number:
+            return NEVER
+        return self._empty_until.pop(descriptor, self._polled_at)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
 settings.register_profile("steady", derandomize=True, deadline=None, database=None)
 settings.load_profile("steady")
 
+SHOWN_CHARACTERS = 4000  # of a failure that is let pass
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -65,6 +66,7 @@
     """Prints the failures that were let pass."""
     for report in terminalreporter.stats.get("xfailed", []):
         terminalreporter.write_line(f"KNOWN RED {report.nodeid}: {report.wasxfail}")
+        terminalreporter.write_line(report.longreprtext[-SHOWN_CHARACTERS:])
 
 
 def pytest_sessionfinish(session):
