--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -35,6 +35,7 @@
 OBJECTS = 2000  # that clients request
 CHANGE_RATE = 10.0  # changes of one node each, a second
 CAPACITY = 2000.0  # weight of all nodes together
+PUBLISHED_WEIGHT = 4  # of a node whose state changes
 SERVICE_TIME = 0.005  # seconds
 BODY = b"x" * 500
 DEFAULT_FLEETS = 200, 3200  # nodes
@@ -132,7 +133,9 @@
 
     def _publish(self, state: int, index: int) -> None:
         """Publish the state of one node."""
-        endpoint = wire.EndpointRecord(f"s-{index + 1:08x}", self.ports[index], state, 0, 0, 0, 0)
+        endpoint = wire.EndpointRecord(
+            f"s-{index + 1:08x}", self.ports[index], state, 0, 0, 0, PUBLISHED_WEIGHT, 0
+        )
         self._events.append(wire.encode_endpoints(len(self._events) + 2, [endpoint]))
         for writer in list(self._writers):
             self._write_new_events(writer)
--- a/benchmarks/planted_faults.py
+++ b/benchmarks/planted_faults.py
@@ -18,16 +18,23 @@
 
 import click
 
+from ironhinge.lab.soak.audit import Rule
+
 ROOT = Path(__file__).parent.parent
 PARTS = ("ironhinge", "benchmarks")  # what a copy needs
 SECONDS_PER_SEED = 7
 TIMEOUT = 300  # seconds for all seeds of one fault
+LOG_EXCERPT = 1500  # characters of the errors of a soak that failed
 
 
 class FaultTextError(LookupError):
     """The program has changed where a fault is planted."""
 
 
+class SoakFailedError(LookupError):
+    """A soak of a copy ended without a result."""
+
+
 class PlantedFault(NamedTuple):
     """One fault: a text that stands once in a module, and what it is replaced by."""
 
@@ -149,7 +156,11 @@
 
 
 def search(fault: PlantedFault, seeds: int) -> SearchResult:
-    """Plays seeds on a copy with the fault until one finds something."""
+    """Plays seeds on a copy with the fault until one finds something.
+
+    Raises:
+        SoakFailedError: The soak itself failed.
+    """
     began = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="ironhinge-planted-") as name:
         plant(fault, Path(name))
@@ -164,10 +175,12 @@
         ]
         command += ["--seconds", str(SECONDS_PER_SEED)]
         run = subprocess.run(command, cwd=name, capture_output=True, text=True, timeout=TIMEOUT, check=False)
-    failed = json.loads(run.stdout.splitlines()[-1])["failed_seeds"] if run.stdout.strip() else []
-    rules = {line.split(":")[0].strip() for line in run.stderr.splitlines() if line.startswith("  ")}
-    known = sorted(rule for rule in rules if rule and not rule[0].isdigit() and rule[0] not in "+-")
-    return SearchResult(fault.name, failed[0] if failed else None, known, round(time.monotonic() - began, 1))
+    if not run.stdout.strip():
+        raise SoakFailedError(f"{fault.name}: {run.stderr[-LOG_EXCERPT:]}")
+    failed = json.loads(run.stdout.splitlines()[-1])["failed_seeds"]
+    found = {line.partition(":")[0].strip() for line in run.stderr.splitlines()}
+    rules = [rule.value for rule in Rule if rule.value in found]
+    return SearchResult(fault.name, failed[0] if failed else None, rules, round(time.monotonic() - began, 1))
 
 
 @click.command()
--- a/ironhinge/lab/soak/audit.py
+++ b/ironhinge/lab/soak/audit.py
@@ -16,7 +16,6 @@
 from .plan import (
     DRAIN_GRACE,
     GROUPS,
-    NODE_WEIGHT,
     PURGE_GRACE,
     SLOW_START_DURATION,
     SLOW_START_MULTIPLE,
@@ -310,7 +309,7 @@
             if arrival.node == cold_start.node and started_at <= arrival.at < started_at + SLOW_START_DURATION
         )
         for index, at in enumerate(times):
-            limit = _slow_start_limit(at - started_at)
+            limit = _slow_start_limit(at - started_at, self.plan.node_weight)
             count = index + 1 - bisect_left(times, at - SLOW_START_WINDOW)
             if count > limit:
                 text = f"{cold_start.node} got {count} of {limit:.0f} at {at - started_at:.2f} s"
@@ -365,14 +364,14 @@
             return False
 
 
-def _slow_start_limit(age: float) -> float:
+def _slow_start_limit(age: float, node_weight: float) -> float:
     """Return the most commands in a window that ends `age` seconds after a cold start.
 
     The allowed mean plus two standard deviations of a Poisson count, three for small counts.
     """
     share = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * min(1.0, age / SLOW_START_DURATION)
     mean_seconds = MEAN_SIZE / TRANSFER_RATE
-    allowed = SLOW_START_MULTIPLE * share * NODE_WEIGHT * SLOW_START_WINDOW / mean_seconds
+    allowed = SLOW_START_MULTIPLE * share * node_weight * SLOW_START_WINDOW / mean_seconds
     if allowed >= LARGE_COUNT:
         return allowed + 2 * sqrt(allowed) + 2
     return allowed + 3 * sqrt(allowed) + 3
--- a/ironhinge/lab/soak/director_config.py
+++ b/ironhinge/lab/soak/director_config.py
@@ -8,7 +8,6 @@
 from .discovery import Discovery
 from .plan import (
     DRAIN_GRACE,
-    NODE_WEIGHT,
     PURGE_GRACE,
     PURGE_SETTLES,
     SLOW_START_DURATION,
@@ -42,7 +41,7 @@
             "type": KIND_NAMES[node.kind],
             "group": node.cell,
             "status": STATUS_NAMES[node.state],
-            "weight": int(NODE_WEIGHT),
+            "weight": fleet.plan.node_weight,
             "since_ms": node.since_ms,
         }
         for node in fleet.nodes.values()
--- a/ironhinge/lab/soak/discovery.py
+++ b/ironhinge/lab/soak/discovery.py
@@ -91,7 +91,14 @@
     def publish_node(self, kind: NotificationKind, node: Node) -> None:
         """Publish the present state of a node."""
         endpoint = wire.EndpointRecord(
-            node.name, node.port, node.state, node.zone, node.kind, node.cell, node.since_ms
+            node.name,
+            node.port,
+            node.state,
+            node.zone,
+            node.kind,
+            node.cell,
+            node.fleet.plan.node_weight,
+            node.since_ms,
         )
         self._publish(wire.encode_endpoints(self.last_number + 1, [endpoint]), kind, node.name)
 
--- a/ironhinge/lab/soak/plan.py
+++ b/ironhinge/lab/soak/plan.py
@@ -16,7 +16,7 @@
 SLOW_START_SHARE, SLOW_START_DURATION = 0.25, 4.0
 SLOW_START_WINDOW, SLOW_START_MULTIPLE = 1.0, 3.0
 TRANSFER_RATE = 4000.0  # KB a second of one transfer
-NODE_WEIGHT = 4.0  # transfers at full rate that a cache can do
+NODE_WEIGHTS = (4, 1)  # transfers at full rate that a cache can do; one is drawn for a run
 GROUPS = 8  # purge groups; an object's is its number modulo this
 OBJECTS = 40  # that clients request and purges name
 
@@ -40,7 +40,7 @@
 NODE_PATH_SHARE = 0.3
 PAUSED_SIGNAL_SHARE = 0.5  # of the signals, around which the director is stopped and continued
 
-STOPS_SEED_OFFSET = 0x570B  # of the generator of these stops: the other draws of a seed stay as they were
+LATER_SEED_OFFSET = 0x570B  # of the generator of what was added later: the older draws stay as they were
 LONGEST_STOP = 0.4  # seconds
 
 
@@ -153,6 +153,7 @@
     error_share: float
     unanswered_share: float
     fault_events: tuple[FaultEvent, ...] = ()
+    node_weight: int = NODE_WEIGHTS[0]
 
 
 def _draw_injection_script(rng: Random) -> dict[str, Any]:
@@ -269,7 +270,8 @@
     client_paths = _draw_client_paths(rng)
     node_path = _draw_node_path(rng)
     events = _draw_director_faults(rng, seconds, directors) + _draw_platform_faults(rng, seconds, caches)
-    events += _draw_stops(Random(seed + STOPS_SEED_OFFSET), seconds, directors, events)
+    later_rng = Random(seed + LATER_SEED_OFFSET)
+    events += _draw_stops(later_rng, seconds, directors, events)
     return Plan(
         seed=seed,
         seconds=seconds,
@@ -286,4 +288,5 @@
         error_share=rng.choice([0.0, 0.02, 0.1]),
         unanswered_share=rng.choice([0.0, 0.01, 0.03]),
         fault_events=tuple(sorted(events, key=lambda event: event.at)),
+        node_weight=later_rng.choice(NODE_WEIGHTS),
     )
--- a/ironhinge/lab/soak/wire.py
+++ b/ironhinge/lab/soak/wire.py
@@ -13,7 +13,7 @@
 
 LENGTH_BYTES = 4
 HEADER_BYTES = 9  # length, type and stream
-WEIGHT_MILLIS = 4000  # of every node in an endpoint list
+WEIGHT_UNIT = 1000  # weights are written in thousandths
 LOOPBACK = bytes([127, 0, 0, 1])
 ENDPOINT_RECORD = struct.Struct(">I4sHBBBHIQ")
 
@@ -172,6 +172,7 @@
     zone: int
     kind: int
     cell: int
+    weight: int
     since_ms: int  # Unix milliseconds of its start
 
 
@@ -186,7 +187,7 @@
             endpoint.zone,
             endpoint.kind,
             endpoint.cell,
-            WEIGHT_MILLIS,
+            endpoint.weight * WEIGHT_UNIT,
             endpoint.since_ms,
         )
         for endpoint in endpoints
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak's audit finds what must not be, and a few seeds of it pass."""
 
+import dataclasses
 import json
 import socket
 import subprocess
@@ -38,7 +39,7 @@
 )
 
 SEEDS, FIRST_SEED, JOBS = 8, 101, 2
-PLAN = draw_plan(5)
+PLAN = dataclasses.replace(draw_plan(5), node_weight=4)
 BODY = "0000000000000001@9000"  # of a copy from 9 s
 GOOD = AnswerRecord(10.02, AnswerCode.SERVED, BODY)
 
