--- a/benchmarks/planted_faults.py
+++ b/benchmarks/planted_faults.py
@@ -179,7 +179,7 @@
         raise SoakFailedError(f"{fault.name}: {run.stderr[-LOG_EXCERPT:]}")
     failed = json.loads(run.stdout.splitlines()[-1])["failed_seeds"]
     found = {line.partition(":")[0].strip() for line in run.stderr.splitlines()}
-    rules = [rule.value for rule in Rule if rule.value in found]
+    rules: list[str] = [rule.value for rule in Rule if rule.value in found]
     return SearchResult(fault.name, failed[0] if failed else None, rules, round(time.monotonic() - began, 1))
 
 
