--- a/ironhinge/settings/evaluation.py
+++ b/ironhinge/settings/evaluation.py
@@ -30,6 +30,7 @@
     Conflict,
     Conjunct,
     Disjunction,
+    Evaluator,
     Kind,
     ListValue,
     RecordSource,
@@ -70,6 +71,12 @@
     return value
 
 
+def root_scope(closes_definitions: bool = False) -> Scope:
+    """Returns the scope around all records of a text."""
+    evaluator = Evaluator(evaluate, evaluate_conjuncts)
+    return Scope(None, None, closes_definitions=closes_definitions, evaluator=evaluator)
+
+
 def evaluate_conjuncts(conjuncts: Sequence[Conjunct], path: str, location: SourceLocation) -> Value:
     """Returns the value that allows what all conjuncts allow."""
     value: Value = Top(location)
--- a/ironhinge/settings/load.py
+++ b/ironhinge/settings/load.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from .errors import ConfigSyntaxError, Diagnostic, InvalidSettingsError, SourceLocation
-from .evaluation import evaluate
+from .evaluation import evaluate, root_scope
 from .export import ExportedValue, export
 from .parser import parse
 from .records import Operations, to_operations
@@ -86,8 +86,8 @@
 
 def _unify_with_schema(records: Sequence[RecordExpr]) -> ExportedValue:
     schema_record = parse(schema_text(), SCHEMA_FILE)
-    schema = Struct([RecordSource(schema_record, Scope(None, None, closes_definitions=True), False)], "")
-    schema_scope = Scope(schema, None)
+    schema = Struct([RecordSource(schema_record, root_scope(closes_definitions=True), False)], "")
+    schema_scope = Scope(schema, root_scope())
     root = ReferenceExpr((ROOT_DEFINITION,), SourceLocation(SCHEMA_FILE, 1, 1))
     value = evaluate(root, schema_scope, "")
     if records:
--- a/ironhinge/settings/values.py
+++ b/ironhinge/settings/values.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import difflib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple, TypeAlias
@@ -94,6 +94,18 @@
     location: SourceLocation
 
 
+class Evaluator(NamedTuple):
+    """The functions that turn expressions to values; records and lists call them when a value is asked for.
+
+    Attributes:
+        evaluate: Returns the value of an expression in a scope, at a path.
+        evaluate_conjuncts: Returns what all conjuncts allow, at a path; they are declared at that location.
+    """
+
+    evaluate: Callable[[Expression, Scope, str], Value]
+    evaluate_conjuncts: Callable[[Sequence[Conjunct], str, SourceLocation], Value]
+
+
 @dataclass(slots=True)
 class Scope:
     """Where a name is looked up: a record, then those around it.
@@ -104,12 +116,19 @@
         closed: Whether records written here allow no fields but those that they name.
         closes_definitions: Whether definitions written here close what they hold: the schema's do, an
             operator's do not.
+        evaluator: Evaluates what is written here; that of the outer scope where there is one.
     """
 
     record: Struct | None
     outer: Scope | None
     closed: bool = False
     closes_definitions: bool = False
+    evaluator: Evaluator | None = None
+
+    def __post_init__(self) -> None:
+        """Takes over the evaluator of the outer scope."""
+        if self.evaluator is None and self.outer is not None:
+            self.evaluator = self.outer.evaluator
 
 
 @dataclass(slots=True)
@@ -121,9 +140,8 @@
 
     def evaluate(self, path: str) -> Value:
         """Returns the value of the expression at that path."""
-        from .evaluation import evaluate  # late, as evaluation makes conjuncts
-
-        return evaluate(self.expression, self.scope, path)
+        assert self.scope.evaluator is not None
+        return self.scope.evaluator.evaluate(self.expression, self.scope, path)
 
 
 @dataclass(slots=True)
@@ -175,8 +193,6 @@
 
     def value(self, name: str) -> Value:
         """Returns the value of a field, evaluated at the first call."""
-        from .evaluation import evaluate_conjuncts  # late, as evaluation makes records
-
         if name not in self._values:
             path = join_path(self.path, name)
             location = self.locations[name]
@@ -184,7 +200,9 @@
                 return Conflict(Diagnostic(location, path, "a reference to itself", "something that ends"))
             self.evaluating.add(name)
             try:
-                self._values[name] = evaluate_conjuncts(self.fields[name], path, location)
+                evaluator = self.sources[0].scope.evaluator
+                assert evaluator is not None
+                self._values[name] = evaluator.evaluate_conjuncts(self.fields[name], path, location)
             finally:
                 self.evaluating.discard(name)
         return self._values[name]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -18,6 +18,7 @@
     SettingsError,
     SourceLocation,
 )
+from ironhinge.settings.evaluation import root_scope
 from ironhinge.settings.isolated import load_isolated
 from ironhinge.settings.load import load_texts, schema_text
 from ironhinge.settings.parser import parse
@@ -30,7 +31,6 @@
     ListValue,
     RecordSource,
     Scalar,
-    Scope,
     Struct,
     Top,
     TypeConstraint,
@@ -255,7 +255,7 @@
 
 def value_of(text):
     record = parse(f"v: {text}", "f")
-    return Struct([RecordSource(record, Scope(None, None), False)], "").value("v")
+    return Struct([RecordSource(record, root_scope(), False)], "").value("v")
 
 
 @settings(max_examples=200)
