The age of a rendered command is looked at just before send(2)

Between the look and the system call lay the reading of the ring, two calls and an errno loop: 1 to 2 us, and some 5 more in the soak, where a wrapper injects faults. A stop just there sends a command that tells the time of before the stop.

The look is now in SocketCalls.send, with the method already bound: what is left is the one call. Remedy.LATE says that nothing was sent, and the connection renders anew.

--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -176,13 +176,13 @@
         """Returns DONE once everything is sent, else why the system accepts no more."""
         while self.sock is not None and not self.is_closed:
             self._fill_ring()
-            if monotonic() > self.rendered_at + MAX_RENDERED_AGE:
-                self._unfill_ring()  # what was rendered tells a time, and has to be rendered anew
-                self._fill_ring()
             data = self.outbound.readable()
             if not data:
                 break
-            count, remedy = self.manager.calls.send(self.sock, data)
+            count, remedy = self.manager.calls.send(self.sock, data, self.rendered_at + MAX_RENDERED_AGE)
+            if remedy is Remedy.LATE:
+                self._unfill_ring()  # what was rendered tells a time, and has to be rendered anew
+                continue
             if remedy is not Remedy.DONE:
                 return remedy
             self.backoff = None
--- a/ironhinge/net/socket_calls.py
+++ b/ironhinge/net/socket_calls.py
@@ -8,6 +8,8 @@
 import socket
 import sys
 from collections.abc import Callable
+from math import inf
+from time import monotonic
 
 import anyio
 
@@ -78,11 +80,20 @@
             self.classify_failure(Call.CONNECT, error)
         return remedy
 
-    def send(self, sock: socket.socket, data: memoryview) -> tuple[int, Remedy]:
-        """Returns how many bytes the system accepted, and DONE or why it accepted none."""
+    def send(self, sock: socket.socket, data: memoryview, latest: float = inf) -> tuple[int, Remedy]:
+        """Returns how many bytes the system accepted, and DONE or why it accepted none.
+
+        Args:
+            sock: The socket.
+            data: What is to be sent.
+            latest: After this (monotonic seconds) nothing is sent; it is looked at just before the call.
+        """
         for _ in range(MAX_IMMEDIATE_RETRIES):
+            send = sock.send
+            if monotonic() > latest:
+                return 0, Remedy.LATE
             try:
-                return sock.send(data), Remedy.DONE
+                return send(data), Remedy.DONE
             except OSError as error:
                 remedy = self.classify_failure(Call.SEND, error.errno)
             if remedy is not Remedy.RETRY:
--- a/ironhinge/net/system_calls.py
+++ b/ironhinge/net/system_calls.py
@@ -51,6 +51,7 @@
     UNREACHABLE = auto()  # the peer can't be reached
     DONE = auto()  # the call has had its effect already
     BUG = auto()  # the program made a call that it must not make
+    LATE = auto()  # the call was not made, as the time by which it had to be has passed
 
 
 class Rule(NamedTuple):
