--- a/ironhinge/lab/soak/audit.py
+++ b/ironhinge/lab/soak/audit.py
@@ -148,7 +148,7 @@
         self.verdict.answered += 1
         self.verdict.served += answer.code == AnswerCode.SERVED
         elapsed = answer.at - _start_of(request)
-        allowed = request.patience + ANSWER_GRACE + 2 * request.connection.path_delay
+        allowed = request.client_timeout + ANSWER_GRACE + 2 * request.connection.path_delay
         late = elapsed - allowed
         if late > SLACK and request.cancelled_at is None:
             text = f"answered {late + ANSWER_GRACE:.3f} s after its time"
@@ -207,7 +207,7 @@
         delay = request.connection.path_delay + self.plan.node_path.delay
         if request.cancelled_at is not None:
             self._check_attempt_after_cancel(arrival, request, request.cancelled_at, delay)
-        time_left = _start_of(request) + request.patience - arrival.complete_at
+        time_left = _start_of(request) + request.client_timeout - arrival.complete_at
         passed_on = float(arrival.fields.get("ms", "0")) / 1000
         excess = passed_on - time_left - DEADLINE_SLACK - delay - self._lag(arrival.at)
         if excess > 0:
--- a/ironhinge/lab/soak/clients.py
+++ b/ironhinge/lab/soak/clients.py
@@ -19,7 +19,7 @@
 RECONNECT_DELAY = 0.05  # seconds
 MEAN_PAUSE = 0.06  # seconds between two operations
 MAX_STREAMS = 32
-ANSWER_GRACE = 1.0  # seconds beyond its patience that a client waits
+ANSWER_GRACE = 1.0  # seconds beyond its timeout that a client waits
 MAX_RETRIES = 2
 GIVE_UP_SHARE = 0.5  # of the requests that could be retried
 POPULARITY_EXPONENT = 0.8  # of the Pareto distribution of objects
@@ -76,7 +76,7 @@
         self.kind = CLIENT_KINDS[self._rng.randrange(len(CLIENT_KINDS))]
         self.path = plan.client_paths[self._rng.randrange(len(plan.client_paths))]
         self._connection: ClientConnection | None = None
-        self._left_connections: list[ClientConnection] = []  # with requests that are still open
+        self._replaced_connections: list[ClientConnection] = []  # with requests that are still open
         self._deadline = 0.0
 
     async def run(self, deadline: float) -> None:
@@ -89,11 +89,11 @@
                 continue
             await self._act(connection)
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE))
-        connections = [*self._left_connections, self._connection]
+        connections = [*self._replaced_connections, self._connection]
         for connection in connections:
             if connection is not None and not connection.closed.is_set():
                 for request in list(connection.open_requests.values()):
-                    await connection.wait(request, request.started_at + request.patience + ANSWER_GRACE)
+                    await connection.wait(request, request.started_at + request.client_timeout + ANSWER_GRACE)
                 connection.close()
 
     async def _usable_connection(self) -> ClientConnection | None:
@@ -104,7 +104,7 @@
             if not (obeys and connection.announced.is_set()):
                 return connection
             if connection.open_requests:
-                self._left_connections.append(connection)
+                self._replaced_connections.append(connection)
             else:
                 connection.close()
         port = self.target.port(self.path)
@@ -149,7 +149,7 @@
         request, data = self._begin(connection, request_class)
         self._write(connection, request, data)
         for _ in range(MAX_RETRIES):
-            await connection.wait(request, time.monotonic() + request.patience + ANSWER_GRACE)
+            await connection.wait(request, time.monotonic() + request.client_timeout + ANSWER_GRACE)
             if not _may_retry(request, request_class):
                 return
             if self._rng.random() < GIVE_UP_SHARE or connection.closed.is_set():
@@ -186,7 +186,7 @@
         for request, _ in begun:
             request.written_at = now
         for request, _ in begun:
-            await connection.wait(request, now + request.patience + ANSWER_GRACE)
+            await connection.wait(request, now + request.client_timeout + ANSWER_GRACE)
 
     async def _send_slowly(self, connection: ClientConnection) -> None:
         """Send one request in pieces."""
@@ -200,7 +200,7 @@
                 await asyncio.sleep(self._rng.uniform(0.0, 0.04))
         if not connection.closed.is_set():
             request.written_at = time.monotonic()
-        await connection.wait(request, time.monotonic() + request.patience + ANSWER_GRACE)
+        await connection.wait(request, time.monotonic() + request.client_timeout + ANSWER_GRACE)
 
     async def _send_and_cancel(self, connection: ClientConnection) -> None:
         request, data = self._begin(connection, self._draw_class())
@@ -223,7 +223,7 @@
     def _draw_class(self) -> RequestClass:
         return self.plan.classes[self._rng.choice(CLASS_INDICES)]
 
-    def _draw_patience(self, request_class: RequestClass) -> float:
+    def _draw_client_timeout(self, request_class: RequestClass) -> float:
         kind = self._rng.random()
         if kind < SHORT_PATIENCE_SHARE:
             return self._rng.uniform(0.001, 0.06)
@@ -240,12 +240,12 @@
         operation = f"{popular:016x}" if request_class.effect is Effect.IDEMPOTENT else trace
         if retried is not None:
             operation = retried.operation
-        patience = self._draw_patience(request_class)
-        request = RequestRecord(trace, operation, request_class.name, connection.record, patience)
+        client_timeout = self._draw_client_timeout(request_class)
+        request = RequestRecord(trace, operation, request_class.name, connection.record, client_timeout)
         fields = {
             "route": request_class.name,
             "trace": trace,
-            "patience": str(max(1, int(patience * 1000))),
+            "patience": str(max(1, int(client_timeout * 1000))),
             "entity": operation,
             "part": "0",
             "group": str(int(operation, 16) % GROUPS),
--- a/ironhinge/lab/soak/records.py
+++ b/ironhinge/lab/soak/records.py
@@ -68,7 +68,7 @@
     operation: str  # common to all attempts: the requested object, or the first trace of a write
     class_name: str
     connection: ConnectionRecord
-    patience: float  # seconds
+    client_timeout: float  # seconds
     started_at: float = 0.0
     written_at: float | None = None  # the last byte was given to the system
     cancelled_at: float | None = None  # by a frame, or by closing the connection
--- a/ironhinge/lab/soak/timeline.py
+++ b/ironhinge/lab/soak/timeline.py
@@ -22,7 +22,7 @@
 def _client_entries(request: RequestRecord) -> list[Entry]:
     connection = request.connection
     entries: list[Entry] = [
-        (request.started_at, f"begun: class {request.class_name}, patience {request.patience:.3f} s")
+        (request.started_at, f"begun: class {request.class_name}, patience {request.client_timeout:.3f} s")
     ]
     for at, text in (
         (connection.opened_at, f"connection {connection.number} opened to director {connection.director}"),
--- a/ironhinge/lab/stand_ins.py
+++ b/ironhinge/lab/stand_ins.py
@@ -120,7 +120,7 @@
         for fill in self._fills.values():
             fill.cancel()
         self._fills.clear()
-        self._abort_idle_connections()
+        self._reset_idle_connections()
         self._server = None
         self._hold_port()
 
@@ -129,7 +129,7 @@
         await self.kill()
         self._release_port()
 
-    def _abort_idle_connections(self) -> None:
+    def _reset_idle_connections(self) -> None:
         for connections in self._idle_connections.values():
             for _, writer in connections:
                 self.network.hub_addresses.discard(writer.get_extra_info("sockname"))
--- a/ironhinge/settings/cycles.py
+++ b/ironhinge/settings/cycles.py
@@ -12,20 +12,20 @@
 MAX_DEPTH = 60  # records within one another, as for brackets; guards the stack
 
 _Sources = frozenset[int]
-_walked: ContextVar[tuple[_Sources, ...]] = ContextVar("_walked", default=())
+_visited: ContextVar[tuple[_Sources, ...]] = ContextVar("_visited", default=())
 
 
 @contextmanager
-def walk_into(struct: Struct) -> Iterator[Diagnostic | None]:
-    """Marks a record as being walked through for the time of the context.
+def visit(struct: Struct) -> Iterator[Diagnostic | None]:
+    """Marks a record as being visited for the time of the context.
 
-    Walks may be nested by evaluation, which looks for conflicts in the alternatives of a disjunction.
+    Visits may be nested by evaluation, which looks for conflicts in the alternatives of a disjunction.
 
     Yields:
-        Why the record must not be walked through; None if it may be. A record is refused within another that
+        Why the record must not be visited; None if it may be. A record is refused within another that
         is made of the same expressions, as it would contain itself without end.
     """
-    outer = _walked.get()
+    outer = _visited.get()
     sources = frozenset(id(source.expression) for source in struct.sources)
     if sources in outer:
         yield Diagnostic(struct.location, struct.path, "a record within itself", "something that ends")
@@ -35,8 +35,8 @@
             struct.location, struct.path, f"more than {MAX_DEPTH} records", "fewer in one another"
         )
         return
-    token = _walked.set((*outer, sources))
+    token = _visited.set((*outer, sources))
     try:
         yield None
     finally:
-        _walked.reset(token)
+        _visited.reset(token)
--- a/ironhinge/settings/disjunctions.py
+++ b/ironhinge/settings/disjunctions.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from .constraints import is_narrower, is_same_constraint
-from .cycles import walk_into
+from .cycles import visit
 from .errors import Diagnostic, SourceLocation
 from .values import (
     Alternative,
@@ -50,7 +50,7 @@
 
 
 def _conflicts_in_struct(struct: Struct) -> list[Diagnostic]:
-    with walk_into(struct) as refusal:
+    with visit(struct) as refusal:
         if refusal is not None:
             return [refusal]
         diagnostics = list(struct.diagnostics)
--- a/ironhinge/settings/export.py
+++ b/ironhinge/settings/export.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .cycles import walk_into
+from .cycles import visit
 from .description import describe
 from .disjunctions import resolve_default
 from .errors import Diagnostic, SourceLocation
@@ -67,7 +67,7 @@
         return None
 
     def _export_struct(self, struct: Struct, path: str) -> dict[str, Any]:
-        with walk_into(struct) as refusal:
+        with visit(struct) as refusal:
             if refusal is not None:
                 self.exported.diagnostics.append(refusal._replace(path=path))
                 return {}
