--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -5,6 +5,7 @@
 
 import socket
 import time
+from math import inf
 
 import anyio
 import pytest
@@ -96,6 +97,33 @@
     assert int(node.next()[2]["ms"]) <= 2000 - 300 + DEADLINE_SLACK_MS
 
 
+def test_a_stop_between_two_parts_of_a_command_counts(monkeypatch):
+    """Guards the time that a server is told: it counts when the command has come whole."""
+    node = FakeNode(holds_all=True)
+    script = Scripted(RequestReceived=[ask(name=OTHER), ask(after=20000)])
+
+    async def scene(one, client, until):
+        await connect_upstream(one, client, script, until)
+        plain, parts = one.manager.calls.send, [40]
+
+        def send_a_part_and_stop(sock, data, latest=inf):
+            if not parts or b"want" not in bytes(data):
+                return plain(sock, data, latest)
+            sent = plain(sock, data[: parts.pop()], latest)
+            stop(0.3)
+            return sent
+
+        monkeypatch.setattr(one.manager.calls, "send", send_a_part_and_stop)
+        one.admit(client, came(2))
+        one.manager.flush()
+        await until(lambda: len(script.got(interface.AttemptFinished)) == 2)
+
+    play(script, scene, (node, node))
+    node.next()
+    told = [] if node.commands.empty() else [int(node.next()[2]["ms"])]
+    assert all(ms <= 2000 - 300 + DEADLINE_SLACK_MS for ms in told)
+
+
 def test_a_command_is_sent_however_long_its_rendering_takes():
     """Guards slow machines: a command that is rendered anew each time would never be sent."""
     times = []
