Client connections: silence has to cover the network before it is idleness

What callers saw: while no descriptor was left, requests on new connections were lost; the connection ended without GOAWAY and without an answer.

Cause: a connection that had sent nothing for 100 ms was closed at once and unannounced when a descriptor was wanted, where the network may take 300 ms a direction; and a loop closed all of that age, 1,300 to 1,600 in seven seconds, whether or not anybody waited in the backlog.

Evidence: log lines at accept and close: all 20 lost connections had 0 unread bytes at the close, 0.104 to 0.170 s after the accept, and their first bytes came 0.002 to 0.09 s later. So no unread data was dropped.

Change: silence counts from the last data or the establishment, as the kernel tells it (tcpi_last_data_recv), so that the backlog bounds itself. It has to last 350 ms; one connection is closed for each that waits (tcpi_unacked of the listener), the longest silent first, and each close begins with GOAWAY.

Why it works: a request that was sent within the network's delay has arrived when a connection may be closed, and is_quiet sees it.

--- a/ironhinge/net/acceptor.py
+++ b/ironhinge/net/acceptor.py
@@ -40,6 +40,7 @@
         is_short_of_descriptors: Accepting has paused, and the shortage is not over yet.
         open_sockets: Sockets in use.
         descriptor_limit: Descriptors that connections may use.
+        waiting_connections: Connections that waited to be accepted when accepting last paused.
     """
 
     calls: SocketCalls
@@ -48,6 +49,7 @@
     is_short_of_descriptors: bool
     open_sockets: int
     descriptor_limit: int
+    waiting_connections: int
 
     def is_full(self) -> bool:
         """Returns whether no client connection can be accepted."""
@@ -87,16 +89,19 @@
         owner = self._owner
         while self._listener.fileno() >= 0:
             if owner.is_full():
-                await self._wait_for_descriptor()
+                if not await self._wait_for_connection():
+                    return
+                if owner.is_full():
+                    await self._wait_for_descriptor()
                 continue
-            if owner.is_nearly_full():
-                self._reclaim_descriptor(False)
             began_at = monotonic()
             sock, remedy = owner.calls.accept(self._listener)
             if sock is not None:
                 self._backoff.reset()
                 self._log_recovery()
                 owner.adopt(sock, self._make_receiver())
+                if owner.is_nearly_full():
+                    self._reclaim_descriptor(False)
                 await lowlevel.checkpoint()  # many new clients must not delay reads from the others
             elif not await self._wait_to_accept(remedy, began_at):
                 return
@@ -114,7 +119,7 @@
         deadline = monotonic() + max_wait
         while monotonic() < deadline:
             if owner.open_sockets >= owner.descriptor_limit:
-                self._reclaim_descriptor(True)
+                self._reclaim_for_waiting()
                 await anyio.sleep(self._backoff.next())
                 continue
             sock, remedy = owner.calls.accept(self._listener)
@@ -130,10 +135,17 @@
 
     async def _wait_for_descriptor(self) -> None:
         self._log_shortage(f"full open_sockets={self._owner.open_sockets}")
-        while self._reclaim_descriptor(True):
-            pass
+        self._reclaim_for_waiting()
         await anyio.sleep(FULL_RETRY_INTERVAL)
 
+    def _reclaim_for_waiting(self) -> None:
+        """Starts to close a connection for each one that waits in the backlog, as far as that is allowed."""
+        waiting = max(1, self._owner.calls.backlog_length(self._listener))
+        self._owner.waiting_connections = waiting
+        for _ in range(waiting):
+            if not self._reclaim_descriptor(True):
+                return
+
     async def _wait_to_accept(self, remedy: Remedy, tried_at: float) -> bool:
         """Waits until accept can be called again; returns False once the listener is closed."""
         if remedy is Remedy.WAIT:
--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -8,9 +8,9 @@
    requests until it closes the connection or `half_close` is called.
 3. Once the client has closed its side, or after a lingering timeout, it closes the socket.
 
-After a protocol violation, or if a frame is not completed in time, the first step is skipped. While
-descriptors are short, a connection that has carried no request gets a shorter notice period or none, or is
-closed at once: see `close_for_capacity`.
+After a protocol violation, or if a frame is not completed in time, the first step is skipped. While no
+descriptor is left, a connection that has carried no request gets a shorter notice period: see
+`close_for_capacity`.
 """
 
 from __future__ import annotations
@@ -20,31 +20,21 @@
 
 from . import client_wire
 from .attempt_end import AttemptEnd
-from .clock import MILLISECOND, Clock
+from .client_timeouts import (
+    FRAME_TIMEOUT,
+    IDLE_TIMEOUT,
+    LINGERING_TIMEOUT,
+    LINGERING_TIMEOUT_WHEN_SHORT,
+    NOTICE_PERIOD,
+    NOTICE_PERIOD_WHEN_FULL,
+    STALLED_TIMEOUT,
+)
+from .clock import SECOND, Clock
 from .connection import Connection
 from .event_log import EventKind, EventLog
 from .open_request import OpenRequest
 
 MAX_OPEN_REQUESTS = 32  # on one connection; the protocol's limit
-# Time without input after which a client that has sent no frame, or only part of one, counts as stalled.
-# Usual clients write at once, and the protocol allows 3 s until the director must have announced the close.
-STALLED_TIMEOUT = 1200 * MILLISECOND
-# The same for an incomplete frame, when no descriptor is left and no connection is idle.
-STALLED_TIMEOUT_WHEN_FULL = 400 * MILLISECOND
-FRAME_TIMEOUT = 2400 * MILLISECOND  # for a whole frame, however slowly it arrives
-IDLE_TIMEOUT = 4500 * MILLISECOND  # clients close their idle connections after 4 s
-
-# How long a connection must have been quiet after GOAWAY before this side is shut down.
-NOTICE_PERIOD = 700 * MILLISECOND  # the network may delay data by 0.3 s in each direction
-NEVER_USED_NOTICE_PERIOD = 400 * MILLISECOND  # part of the 3 s may have passed in the backlog
-SHORT_OF_DESCRIPTORS_NOTICE_PERIOD = 250 * MILLISECOND
-# No descriptor is left: with a longer notice, connections would arrive faster than they are closed.
-FULL_NOTICE_PERIOD = 60 * MILLISECOND
-UNUSED_SHUTDOWN_NOTICE_PERIOD = 100 * MILLISECOND  # during shutdown, for a client that never sent a frame
-
-# Time for the client to close its side; after that the socket is closed, even if output is unread.
-LINGERING_TIMEOUT = 500 * MILLISECOND
-LINGERING_TIMEOUT_WHEN_SHORT = 100 * MILLISECOND  # the same while descriptors are short
 
 
 class Phase(Enum):
@@ -56,7 +46,7 @@
 
 
 class Usage(Enum):
-    """What a client has used its connection for; connections are closed for others in this order."""
+    """What a client has used its connection for."""
 
     NONE = 0  # the client has sent no frame
     READINESS_ONLY = 1  # the client has sent frames, such as readiness queries, but no request
@@ -91,6 +81,9 @@
     def is_short_of_descriptors(self) -> bool:
         """Returns whether idle connections have to be closed for new ones."""
 
+    def may_linger(self) -> bool:
+        """Returns whether a descriptor is left for a connection that waits for its client to close."""
+
     def on_client_connected(self, client: ClientConnection) -> None:
         """Adds a connection that was just accepted."""
 
@@ -134,8 +127,12 @@
         self._owner = owner
 
     def on_connected(self, connection: Connection) -> None:
-        """Registers the accepted connection; during shutdown, sends GOAWAY at once."""
+        """Registers the accepted connection; during shutdown, sends GOAWAY at once.
+
+        Its client may have been silent since before the accept: it could send once it was in the backlog.
+        """
         self.connection = connection
+        self.waiting_since -= int(connection.silence_at_accept * SECOND)
         self._owner.on_client_connected(self)
         if self._owner.is_shutting_down():
             self.announce_close(CloseCause.SHUTDOWN, None)
@@ -200,14 +197,17 @@
         frame = client_wire.answer(request.stream, code, fields, body)
         self.connection.write(frame, request.stream, request.answer_expires_at)
 
-    def announce_close(self, cause: CloseCause, notice_period: int | None) -> None:
+    def announce_close(
+        self, cause: CloseCause, notice_period: int | None, quiet_period: int | None = None
+    ) -> None:
         """Sends GOAWAY, unless it was sent before, and sets when this side is shut down.
 
         Args:
             cause: Why the connection is closed.
-            notice_period: This side is shut down once the connection has been quiet for this long (tenths of
-                a millisecond); a period that was set before stays. None: no time is set, and one that was set
-                is cleared; a later call may set one again.
+            notice_period: This side is shut down after this time (tenths of a millisecond), once the
+                connection has been quiet for the quiet period; a period that was set before stays. None: no
+                time is set, and one that was set is cleared; a later call may set one again.
+            quiet_period: How long the connection must have been quiet by then; None: for the notice period.
         """
         if self.phase is Phase.HALF_CLOSED:
             return
@@ -221,7 +221,7 @@
         elif self.close_not_before is None:
             self.close_cause = cause
             self.close_not_before = self._owner.clock.now() + notice_period
-            self.quiet_period = notice_period
+            self.quiet_period = notice_period if quiet_period is None else quiet_period
 
     def half_close(self) -> None:
         """Shuts down this side once all queued output is sent.
@@ -282,10 +282,8 @@
             if self.close_not_before is not None and now >= self._quiet_until(self.close_not_before):
                 self._close_if_quiet()
         elif now > self.waiting_since + self._idle_timeout() and self.is_idle():
-            if self.usage is Usage.NONE:
-                self.announce_close(CloseCause.NEVER_USED, NEVER_USED_NOTICE_PERIOD)
-            else:
-                self.announce_close(CloseCause.IDLE, NOTICE_PERIOD)
+            cause = CloseCause.NEVER_USED if self.usage is Usage.NONE else CloseCause.IDLE
+            self.announce_close(cause, NOTICE_PERIOD)
 
     def _quiet_until(self, close_not_before: int) -> int:
         return max(close_not_before, self.waiting_since + self.quiet_period)
@@ -296,7 +294,7 @@
     def _close_if_quiet(self) -> None:
         if not self.is_quiet():
             return
-        if self.close_cause is CloseCause.CAPACITY and self.usage is not Usage.REQUESTS:
+        if self._is_unused_for_capacity() and not self._owner.may_linger():
             self.connection.close(AttemptEnd.CLOSED)  # frees the descriptor at once
         else:
             self.half_close()
@@ -318,24 +316,29 @@
         return True
 
     def close_for_capacity(self, is_full: bool) -> None:
-        """Starts to close the connection as early as possible, to free its descriptor for a new one.
+        """Starts to close the connection, to free its descriptor for a new one.
 
-        A client that never sent a frame gets no notice period, and its connection is closed at once when no
-        descriptor is left: bursts of such connections arrive faster than a slower close could free
-        descriptors. A client that has sent requests may send more, and gets the full notice period.
+        A client that has sent requests may send more, and gets the full notice period. The others get a
+        shorter one when no descriptor is left, as bursts of such connections arrive faster than the full
+        period could free descriptors.
         """
-        if is_full and self.usage is Usage.NONE:
-            self.close_cause = CloseCause.CAPACITY
-            self.connection.close(AttemptEnd.CLOSED)
+        has_short_notice = is_full and self.usage is not Usage.REQUESTS
+        self.announce_close(
+            CloseCause.CAPACITY, NOTICE_PERIOD_WHEN_FULL if has_short_notice else NOTICE_PERIOD
+        )
+
+    def _is_unused_for_capacity(self) -> bool:
+        """Returns whether it is closed to free its descriptor and has never carried a request."""
+        return self.close_cause is CloseCause.CAPACITY and self.usage is not Usage.REQUESTS
+
+    def shorten_notice(self, now: int) -> None:
+        """Ends the notice period of a connection without requests earlier, as no descriptor is left."""
+        if self.phase is not Phase.ANNOUNCED or self.close_not_before is None:
             return
-        if self.usage is Usage.REQUESTS:
-            self.announce_close(CloseCause.CAPACITY, NOTICE_PERIOD)
-        else:
-            self.announce_close(
-                CloseCause.CAPACITY, FULL_NOTICE_PERIOD if is_full else SHORT_OF_DESCRIPTORS_NOTICE_PERIOD
-            )
-        if self.usage is Usage.NONE:
-            self.half_close()
+        if self._is_unused_for_capacity() and self.quiet_period > NOTICE_PERIOD_WHEN_FULL:
+            announced_at = self.close_not_before - self.quiet_period
+            self.quiet_period = NOTICE_PERIOD_WHEN_FULL
+            self.close_not_before = max(now, announced_at + self.quiet_period)
 
     def on_closed(self, connection: Connection, end: AttemptEnd) -> None:
         """Reports the close, and that the client no longer waits for its open requests."""
--- a/ironhinge/net/client_registry.py
+++ b/ironhinge/net/client_registry.py
@@ -4,19 +4,17 @@
 
 from collections.abc import Iterator
 
-from .client_connection import (
+from .client_connection import ClientConnection, CloseCause, Usage
+from .client_timeouts import (
+    MIN_SILENCE,
+    MIN_SILENCE_AFTER_REQUESTS,
     STALLED_TIMEOUT_WHEN_FULL,
     UNUSED_SHUTDOWN_NOTICE_PERIOD,
-    ClientConnection,
-    CloseCause,
-    Usage,
 )
-from .clock import MILLISECOND, SECOND, Clock
+from .clock import Clock
 from .connection_manager import ConnectionManager
 
-MIN_WAIT = 150 * MILLISECOND  # shortest wait after which a connection may be closed for a new one
-MIN_WAIT_WHEN_FULL = 100 * MILLISECOND  # the same when no descriptor is left
-MIN_WAIT_AFTER_REQUESTS = SECOND  # for one that has carried requests, while descriptors are left
+CLOSING_CAUSES = (CloseCause.CAPACITY, CloseCause.PROTOCOL_VIOLATION)  # a stalled client has the latter
 
 
 class ClientRegistry:
@@ -65,9 +63,9 @@
     def reclaim_descriptor(self, is_full: bool) -> bool:
         """Starts to close one idle connection, to free its descriptor for a new one.
 
-        Clients may keep connections open without sending anything. Connections that never sent a request
-        are closed first, and among equals the one that has waited longest. If none is idle and no descriptor
-        is left, a stalled one is closed.
+        Clients may keep connections open without sending anything. Connections that never carried a request
+        are closed first, and among equals the one that has been silent longest. If no descriptor is left and
+        no connection without requests is idle, a stalled one is closed.
 
         The protocol allows closing a connection without open requests. But a client that has more requests
         reconnects at once, so closing more than one connection per new one would cause a burst of its own.
@@ -78,35 +76,49 @@
         Returns:
             False if no connection may be closed.
         """
-        closing = sum(client.close_cause is CloseCause.CAPACITY for client in self._clients)
-        if closing >= self._manager.max_concurrent_closes():
-            return False
+        closing = [client for client in self._clients if client.close_cause in CLOSING_CAUSES]
         now = self._clock.now()
-        min_wait = MIN_WAIT_WHEN_FULL if is_full else MIN_WAIT
-        candidates = [client for client in self._clients if client.waiting_since <= now - min_wait]
-        for usage in Usage:
-            client = self._first_idle(candidates, usage, None if is_full else now)
-            if client is not None:
-                client.close_for_capacity(is_full)
-                return True
-        if is_full and not closing:
+        if is_full:
+            for client in closing:
+                client.shorten_notice(now)
+        max_closing = self._manager.max_concurrent_closes()
+        # a client that goes on sending delays its close, which must not keep the unused connections open
+        if sum(client.usage is not Usage.REQUESTS for client in closing) >= max_closing:
+            return False
+        idle = self._longest_silent(now, has_requests=False)
+        may_close_others = len(closing) < max_closing
+        if idle is None and may_close_others:
+            min_silence = MIN_SILENCE if is_full else MIN_SILENCE_AFTER_REQUESTS
+            idle = self._longest_silent(now, has_requests=True, min_silence=min_silence)
+        if idle is not None:
+            idle.close_for_capacity(is_full)
+            return True
+        if is_full and may_close_others and not self._has_unused():
             return any(client.close_if_stalled(now, STALLED_TIMEOUT_WHEN_FULL) for client in self)
         return False
 
-    @staticmethod
-    def _first_idle(
-        clients: list[ClientConnection], usage: Usage, now: int | None
+    def _has_unused(self) -> bool:
+        """Returns whether an idle connection without requests is open; it may be closed soon."""
+        return any(client.usage is not Usage.REQUESTS and client.is_idle() for client in self._clients)
+
+    def _longest_silent(
+        self, now: int, has_requests: bool, min_silence: int = MIN_SILENCE
     ) -> ClientConnection | None:
-        """Returns the idle connection of a usage that has waited longest, or None.
+        """Returns the idle connection that has been silent longest, at least for `min_silence`; or None.
 
-        A connection that has carried requests must have waited for `MIN_WAIT_AFTER_REQUESTS`, unless no
-        descriptor is left (`now` is None).
+        Args:
+            now: The time.
+            has_requests: Whether the connection has to have carried requests, or must not have.
+            min_silence: Tenths of a millisecond.
         """
-        for client in clients:
-            if client.usage is not usage or not client.is_idle():
-                continue
-            is_recent = now is not None and client.waiting_since > now - MIN_WAIT_AFTER_REQUESTS
-            return None if usage is Usage.REQUESTS and is_recent else client
+        candidates = [
+            client
+            for client in self._clients
+            if (client.usage is Usage.REQUESTS) is has_requests and client.waiting_since <= now - min_silence
+        ]
+        for client in sorted(candidates, key=lambda client: client.waiting_since):
+            if client.is_idle():
+                return client
         return None
 
     def announce_shutdown(self) -> None:
@@ -118,7 +130,7 @@
         """Starts to close the connections of clients that never sent a frame."""
         for client in self:
             if client.usage is Usage.NONE:
-                client.announce_close(CloseCause.SHUTDOWN, UNUSED_SHUTDOWN_NOTICE_PERIOD)
+                client.announce_close(CloseCause.SHUTDOWN, UNUSED_SHUTDOWN_NOTICE_PERIOD, MIN_SILENCE)
 
     def close_all(self) -> None:
         """Shuts down this side of every connection, once its queued output is sent."""
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -59,6 +59,8 @@
         self.polled_descriptor: int | None = None  # set while the read loop waits for input
         # when the last data arrived that the system received before the accept (monotonic seconds)
         self.backlog_data_at: float | None = None
+        # how long the peer had been silent at the accept (seconds); 0 if that is unknown
+        self.silence_at_accept = 0.0
         self.task_count = 0  # tasks that use the socket
         self.cancel_scope = anyio.CancelScope()
         self.write_wait_scope: anyio.CancelScope | None = None  # set while a task waits to send the rest
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -33,6 +33,8 @@
 SOCKET_RELEASE_TURNS = 3  # turns of the event loop in which a closed connection releases its socket
 # Seconds; after a longer wait in the backlog, the system is asked for the age of a connection's data.
 BACKLOG_WAIT_THRESHOLD = 0.03
+UNKNOWN_SILENCE = -1.0
+KERNEL_CLOCK_RESOLUTION = 0.01  # seconds; the kernel counts a connection's times in its timer ticks
 CONNECT_FAILURE_ENDS = {  # the end of a connection that was not established
     Remedy.REFUSED: AttemptEnd.CONNECTION_REFUSED,
     Remedy.RESET: AttemptEnd.CUT_BEFORE_SEND,
@@ -236,10 +238,14 @@
     def _record_backlog_wait(self, connection: Connection, sock: socket.socket) -> None:
         """Records the earliest time at which the first data of a connection can have arrived.
 
-        After a long wait in the backlog, also records when the last data arrived there.
+        After a long wait in the backlog, also records when the last data arrived there, and for how long the
+        peer has been silent.
         """
         connection.last_empty_at = self.backlog_empty_at
         now = monotonic()
         waited = now - self.backlog_empty_at
         if waited > BACKLOG_WAIT_THRESHOLD:
-            connection.backlog_data_at = now - self.calls.seconds_since_data(sock, waited)
+            silence = self.calls.seconds_since_data(sock, UNKNOWN_SILENCE)
+            is_known = 0 <= silence <= waited + KERNEL_CLOCK_RESOLUTION
+            connection.backlog_data_at = now - (silence if is_known else waited)
+            connection.silence_at_accept = min(silence, waited) if is_known else 0.0
--- a/ironhinge/net/descriptor_budget.py
+++ b/ironhinge/net/descriptor_budget.py
@@ -29,6 +29,7 @@
         descriptor_limit: Descriptors that connections may use.
         open_sockets: Open sockets, closing ones included.
         finishing_count: Connections that send the rest of their output, then wait for the peer to close.
+        waiting_connections: Connections that waited to be accepted when accepting last paused, at least 1.
     """
 
     def __init__(self, configured_limit: int):
@@ -38,10 +39,18 @@
         self.descriptor_limit = max(RESERVED_DESCRIPTORS, usable - RESERVED_DESCRIPTORS)
         self.open_sockets = 0
         self.finishing_count = 0
+        self.waiting_connections = 1
 
     def descriptors_in_use(self) -> int:
         """Returns the open sockets, less those (within the allowance) that wait for their peers to close."""
-        return self.open_sockets - min(self.finishing_count, int(FINISHING_ALLOWANCE * self.descriptor_limit))
+        return self.open_sockets - min(self.finishing_count, self._max_finishing())
+
+    def may_linger(self) -> bool:
+        """Returns whether one more connection may wait for its peer to close and not count as in use."""
+        return self.finishing_count < self._max_finishing()
+
+    def _max_finishing(self) -> int:
+        return int(FINISHING_ALLOWANCE * self.descriptor_limit)
 
     def is_nearly_full(self) -> bool:
         """Returns whether idle connections have to be closed for new ones."""
@@ -61,7 +70,7 @@
     def max_concurrent_closes(self) -> int:
         """Returns how many connections may be closing at a time to free descriptors."""
         if self.is_full():
-            return max(1, int(MAX_CLOSING_SHARE * self.descriptor_limit))
+            return max(1, min(self.waiting_connections, int(MAX_CLOSING_SHARE * self.descriptor_limit)))
         excess = self.descriptors_in_use() - RECLAIM_THRESHOLD * CLIENT_SHARE * self.descriptor_limit
         return max(1, int(excess))
 
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -279,6 +279,10 @@
         """Returns whether idle connections have to be closed for new ones."""
         return self.manager.is_nearly_full()
 
+    def may_linger(self) -> bool:
+        """Returns whether a descriptor is left for a connection that waits for its client to close."""
+        return self.manager.may_linger()
+
     def on_client_connected(self, client: ClientConnection) -> None:
         """Adds a client connection that was just accepted."""
         self.clients.add(client)
--- a/ironhinge/net/socket_calls.py
+++ b/ironhinge/net/socket_calls.py
@@ -18,6 +18,8 @@
 from .system_calls import MIN_PAUSE, Call, Remedy, error_name, remedy_for
 
 LISTEN_BACKLOG = 1024  # connections that may wait to be accepted
+TCP_LISTEN = 10  # the first byte of struct tcp_info, tcpi_state, of a listener
+TCP_BACKLOG_LENGTH = slice(24, 28)  # of struct tcp_info: tcpi_unacked, which a listener uses for its backlog
 TCP_LAST_DATA_RECEIVED = slice(52, 56)  # of struct tcp_info: tcpi_last_data_recv, in milliseconds
 MAX_IMMEDIATE_RETRIES = 8  # calls in a row that may be interrupted before the caller has to pause
 
@@ -137,16 +139,30 @@
         return False
 
     def seconds_since_data(self, sock: socket.socket, default: float) -> float:
-        """Returns the seconds since data last arrived, from tcp(7); `default` if it is unknown."""
-        try:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_LAST_DATA_RECEIVED.stop)
-        except OSError as error:
-            self.classify_failure(Call.GET_OPTION, error.errno)
-            return default
+        """Returns the seconds since data last arrived or, if none has, since the connection was established.
+
+        That is how the kernel sets tcpi_last_data_recv of tcp(7); `default` if it is unknown.
+        """
+        info = self._tcp_info(sock)
         if len(info) < TCP_LAST_DATA_RECEIVED.stop:
             return default
         return int.from_bytes(info[TCP_LAST_DATA_RECEIVED], sys.byteorder) / 1000
 
+    def backlog_length(self, listener: socket.socket) -> int:
+        """Returns how many connections wait to be accepted; 0 if it is unknown."""
+        info = self._tcp_info(listener)
+        if len(info) < TCP_BACKLOG_LENGTH.stop or info[0] != TCP_LISTEN:
+            return 0
+        return int.from_bytes(info[TCP_BACKLOG_LENGTH], sys.byteorder)
+
+    def _tcp_info(self, sock: socket.socket) -> bytes:
+        """Returns the start of struct tcp_info, up to the fields that are used; empty if it is unknown."""
+        try:
+            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_LAST_DATA_RECEIVED.stop)
+        except OSError as error:
+            self.classify_failure(Call.GET_OPTION, error.errno)
+            return b""
+
     def shut_down(self, sock: socket.socket, how: int) -> Remedy:
         """Ends one or both directions of a connection, like shutdown(2)."""
         for _ in range(MAX_IMMEDIATE_RETRIES):
--- /dev/null
+++ b/tests/test_connection_reclaim.py
@@ -0,0 +1,101 @@
+"""Which client connections a director closes while descriptors are short, and what their clients are told."""
+
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from .helpers import (
+    TIMEOUT_SECONDS,
+    DirectorProcess,
+    FakeClient,
+    FakeCoordinator,
+    FakeUpstream,
+    configuration,
+    endpoint_config,
+    free_port,
+    settings,
+)
+
+ANSWER_CODES = 1, 2, 3  # served, rejected, failed
+GOAWAY, RESPONSE = 3, 8  # frame types
+DESCRIPTOR_LIMIT = 96  # of which clients may use 61
+CROWD = 100  # idle connections when the clients under test connect: the descriptors and part of the backlog
+OPEN_INTERVAL = 0.004  # seconds between the idle connections that follow
+CLIENTS = 6
+
+
+@pytest.fixture
+def director(tmp_path):
+    """A director process with few descriptors and an upstream that has all objects."""
+    upstream, coordinator = FakeUpstream(has_all_objects=True), FakeCoordinator()
+    config = configuration(
+        [endpoint_config("s-00000001", upstream.address)],
+        f"127.0.0.1:{free_port()}",
+        coordinator=coordinator.address,
+        settings=settings(),
+        limits={"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTOR_LIMIT},
+    )
+    process = DirectorProcess(tmp_path, config)
+    yield process
+    process.stop()
+
+
+class IdleCrowd:
+    """Connections that never send anything; more are opened all the time, so that some always wait."""
+
+    def __init__(self, port):
+        self.port, self.sockets, self.is_stopped = port, [], threading.Event()
+        self.thread = threading.Thread(target=self.run)
+
+    def __enter__(self):
+        for _ in range(CROWD):
+            self.open()
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.is_stopped.set()
+        self.thread.join(TIMEOUT_SECONDS)
+        for sock in self.sockets:
+            sock.close()
+
+    def open(self):
+        self.sockets.append(socket.create_connection(("127.0.0.1", self.port), timeout=TIMEOUT_SECONDS))
+
+    def run(self):
+        while not self.is_stopped.wait(OPEN_INTERVAL):
+            with contextlib.suppress(OSError):
+                self.open()
+
+
+def frames_until_answer(client, stream):
+    """Returns the types of the frames that a client gets, up to an answer on `stream` or the end."""
+    kinds = []
+    while RESPONSE not in kinds:
+        try:
+            kind, answer_stream, _ = client.read_frame()
+        except (EOFError, OSError):
+            break
+        assert kind != RESPONSE or answer_stream == stream
+        kinds.append(kind)
+    return kinds
+
+
+@pytest.mark.parametrize("silence", [0.05, 0.15, 0.3, 0.55])
+def test_no_connection_ends_without_notice_before_its_first_bytes_arrive(director, silence):
+    """A network or a busy client may take 0.3 s: a new connection that is silent so far is not idle."""
+    with IdleCrowd(director.port):
+        clients = [FakeClient(director.port) for _ in range(CLIENTS)]
+        time.sleep(silence)
+        streams = []
+        for client in clients:
+            with contextlib.suppress(OSError):  # after a reset; what it received before can still be read
+                streams.append(client.send_request())
+        frames = [frames_until_answer(client, 1) for client in clients]
+    # answered, or told by GOAWAY that the request was not taken
+    assert [kinds for kinds in frames if RESPONSE not in kinds and GOAWAY not in kinds] == []
+    if silence <= 0.3:  # the longest delay of the network in one direction
+        assert [kinds for kinds in frames if RESPONSE not in kinds] == []
