Commands: the rest of a begun command is rendered again after a stop

What callers saw: a server was told more time than the client had left (1.996 s with 1.646 s left), so that it worked for nobody.

Cause: the time remaining is rendered when a command is written, and anew if it was held up; a command of which the system had accepted a part could not be, so a stop between its two parts left the old time in the rest.

Evidence: test_a_stop_between_two_parts_of_a_command_counts forces the order and was red: 2.000 s told with 1.700 s left.

Change: the rest is replaced where the new text begins with what was sent; the time remaining is the last field, so that nearly every cut lies before it. Where that can't be, the rest is sent up to an age of 0.1 s, and after that the connection is closed without blame: half a command has no effect. A connection whose peer does not read stays open.

Why it works: whatever part is sent later is rendered after the stop.

--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -28,6 +28,8 @@
 MAX_IMMEDIATE_READS = 4  # reads by `read_now`: a read may be short, or fail temporarily
 DISCARD_INTERVAL = 0.01  # seconds between reads of data that is discarded
 MAX_RENDERED_AGE = 0.02  # seconds; an older frame is rendered again before it is sent
+# Seconds; the rest of an older frame is not sent. The time remaining in a command may be too long by 0.15 s.
+MAX_BEGUN_FRAME_AGE = 0.1
 MAX_EMPTY_AGE = 0.03  # seconds; if a connection was last known to be empty earlier, a short read is repeated
 
 EMPTY_BUFFER = RingBuffer(0)
@@ -48,6 +50,7 @@
         self.buffered_offset = 0  # total of bytes put into the outbound ring
         self.sent_offset = 0  # total of bytes accepted by the system
         self.rendered_at = inf  # when the oldest unsent frame in the ring was rendered; inf: there is none
+        self.is_peer_slow = False  # the peer read too slowly to take the whole of a begun frame
         self.is_connected = self.is_closed = self.is_finishing = False
         self.write_side_closed = False  # this side has been shut down for writing
         self.no_delay = False  # TCP_NODELAY is on
@@ -117,11 +120,15 @@
         if not self.no_delay:
             self.no_delay = calls.enable_no_delay(self.sock)
         remedy = self._send_all()
+        if self.is_closed:
+            return
         if remedy is Remedy.DONE and self.is_finishing and not self.write_side_closed:
             remedy = calls.shut_down(self.sock, socket.SHUT_WR)
             self.write_side_closed = remedy is Remedy.DONE
         if remedy in (Remedy.WAIT, Remedy.PAUSE):
             self._requeue_unsent_frames()
+            has_begun_frame = bool(self.buffered_frames)
+            self.is_peer_slow = self.is_peer_slow or (has_begun_frame and remedy is Remedy.WAIT)
             self.write_wait_scope = anyio.CancelScope()
             self.owner.task_group.start_soon(self._wait_to_write, remedy)
         elif remedy is not Remedy.DONE:
@@ -139,20 +146,61 @@
             count, remedy = self.owner.calls.send(self.sock, data, latest)
             if remedy is Remedy.LATE:
                 self._requeue_unsent_frames()  # the rendered time remaining is out of date
+                self._rerender_begun_frame()
                 is_rerendered = True  # only once: on a slow machine, rendering alone may take that long
                 continue
             is_rerendered = False
             if remedy is not Remedy.DONE:
                 return remedy
-            self.backoff = None
-            self.outbound.consume(count)
-            self.sent_offset += count
-            while self.buffered_frames and self.is_written(self.buffered_frames[0]):
-                self.buffered_frames.popleft()
-            if not self.buffered_frames:
-                self.rendered_at = inf
+            self._on_sent(count)
         return Remedy.DONE
 
+    def _on_sent(self, count: int) -> None:
+        """Removes what the system has accepted from the ring."""
+        self.backoff = None
+        self.outbound.consume(count)
+        self.sent_offset += count
+        while self.buffered_frames and self.is_written(self.buffered_frames[0]):
+            self.buffered_frames.popleft()
+            self.is_peer_slow = False
+        if not self.buffered_frames:
+            self.rendered_at = inf
+
+    def _rerender_begun_frame(self) -> None:
+        """Renders the rest of a partly sent frame again, so that its time remaining is right on arrival.
+
+        That is not possible if the new content begins otherwise than what was sent. Then the connection is
+        closed if the frame is too old, which ends what else is in flight on it. It stays open if the peer
+        was slow to read, as frames that the system has accepted are as old by then.
+        """
+        frame = self.buffered_frames[0] if self.buffered_frames else None
+        if frame is None or frame.rendered_at == inf:
+            return
+        first_rendered_at, rendered_at = frame.rendered_at, monotonic()
+        pieces = frame.render() if frame.render is not None else ()
+        if self.is_closed or not self.buffered_frames or self.buffered_frames[0] is not frame:
+            return
+        if frame.ring_start is not None and self._replace_unsent(frame, pieces):
+            self.rendered_at = frame.rendered_at = rendered_at
+        elif not self.is_peer_slow and rendered_at > first_rendered_at + MAX_BEGUN_FRAME_AGE:
+            self.close(AttemptEnd.CONNECTION_SHARED_FAILURE)
+
+    def _replace_unsent(self, frame: Frame, pieces: Pieces) -> bool:
+        """Replaces the rest of the partly sent frame; False if the new content begins otherwise."""
+        assert frame.ring_start is not None
+        old_size = frame.size
+        if not frame.replace_unsent(pieces, self.sent_offset - frame.ring_start):
+            return False
+        self.outbound.unwrite(self.buffered_offset - self.sent_offset)
+        self.buffered_offset = self.sent_offset
+        if frame.ring_end is None:
+            self._count_queued(frame.size - old_size)
+        else:
+            frame.ring_end = None
+            self.pending_frames.appendleft(frame)
+            self._count_queued(frame.size)
+        return True
+
     def _fill_ring(self) -> None:
         while self.pending_frames and self.outbound.used < self.outbound.size:
             frame = self.pending_frames[0]
@@ -176,7 +224,8 @@
     def _render_frame(self, frame: Frame) -> bool:
         """Renders the first pending frame; False if that withdrew the frame or closed the connection."""
         assert frame.render is not None
-        self.rendered_at = min(self.rendered_at, monotonic())
+        frame.rendered_at = monotonic()
+        self.rendered_at = min(self.rendered_at, frame.rendered_at)
         pieces = frame.render()
         if self.is_closed or not self.pending_frames or self.pending_frames[0] is not frame:
             return False
@@ -195,6 +244,7 @@
         while self.buffered_frames:
             frame = self.buffered_frames[-1]
             if frame.ring_start is None or frame.ring_start < self.sent_offset:
+                self.rendered_at = frame.rendered_at
                 return
             self.buffered_frames.pop()
             self.outbound.unwrite(self.buffered_offset - frame.ring_start)
--- a/ironhinge/net/upstream_command.py
+++ b/ironhinge/net/upstream_command.py
@@ -20,18 +20,19 @@
 def command_fields(forwarded: ForwardedFields, command: SendAttempt | SendAttemptWithFill) -> dict[str, str]:
     """Returns the fields of a command, in the order in which they are written.
 
-    The time remaining is empty here; `set_time_remaining` sets it just before the command is written.
+    The time remaining is empty here; `set_time_remaining` sets it just before the command is written. It is
+    the last field, so that it can still be corrected if only a part of the command is sent.
     """
     fields = {"kind": forwarded.route, "obj": forwarded.entity}
     if forwarded.part is not None:
         fields["seg"] = forwarded.part
     if forwarded.nonce is not None:
         fields["token"] = forwarded.nonce
-    fields[TIME_REMAINING] = ""
     if isinstance(command, SendAttemptWithFill):
         _add_fill_fields(fields, command)
     if forwarded.held_tag:
         fields["got"] = forwarded.held_tag
+    fields[TIME_REMAINING] = ""
     return fields
 
 
