Disk: a segment leaves the index together with the table of segments

What was seen: after a kill between a compaction and the next checkpoint, the index held entries whose segment was gone: 0 live bytes, 236 by the index. A look-up was a miss, so callers lost a copy at most.

Cause: recovery took a missing segment out of its table and left its entries to the look-ups. The same where a segment is unreadable or damaged at recovery, and where compaction can't read the segment that it removes.

Change: StoreState.discard_segment does both, and searches the index only if the segment still had live bytes.

--- a/ironhinge/disk/compaction.py
+++ b/ironhinge/disk/compaction.py
@@ -75,8 +75,7 @@
             return memoryview(b"")
 
     def _remove_segment(self, segment: int) -> None:
-        with self._state.lock:
-            self._state.segments.discard(segment)
+        self._state.discard_segment(segment)  # records that could not be read have not moved
         with suppress(FileNotFoundError):
             self._directory.remove(segment_file_name(segment))
         self._state.is_full = False  # there is space again
--- a/ironhinge/disk/recovery.py
+++ b/ironhinge/disk/recovery.py
@@ -62,9 +62,12 @@
                 self._directory.remove(name)
 
     def _forget_missing_segments(self, segment_numbers: list[int]) -> None:
-        """Removes segments from the state whose files are gone; lookups of their entries are misses."""
+        """Removes segments from the state whose files are gone.
+
+        A checkpoint lists the copies of a segment that was compacted after it; the log has those that moved.
+        """
         for number in [number for number in self._state.segments if number not in segment_numbers]:
-            self._state.segments.discard(number)
+            self._state.discard_segment(number)
             self._state.count(StoreCounter.MISSING_SEGMENTS)
 
     def _replay(self, number: int, offset: int) -> None:
@@ -74,7 +77,7 @@
             data = memoryview(self._directory.read(name))
         except OSError:
             self._state.count(StoreCounter.UNREADABLE_SEGMENTS)
-            self._state.segments.discard(number)
+            self._state.discard_segment(number)
             return
         if not self._has_valid_header(name, number, data):
             return
@@ -115,7 +118,7 @@
         return True
 
     def _discard_segment(self, name: str, number: int) -> None:
-        self._state.segments.discard(number)
+        self._state.discard_segment(number)
         if not self._directory.read_only:
             self._directory.remove(name)
 
--- a/ironhinge/disk/state.py
+++ b/ironhinge/disk/state.py
@@ -85,6 +85,15 @@
             if current is not None and current.generation == entry.generation:
                 self.remove(current)
 
+    def discard_segment(self, number: int) -> None:
+        """Removes a segment, and the entries of the copies in it that are still live."""
+        with self.lock:
+            if self.segments.live_bytes_of(number):
+                lost = [entry.key for entry in self.index.entries() if entry.segment == number]
+                for key in lost:
+                    self.index.remove(key)
+            self.segments.discard(number)
+
     def find(self, key: PartKey) -> IndexEntry | None:
         """Returns the entry of a part if its copy may be served; otherwise removes it and returns None."""
         with self.lock:
--- a/tests/test_disk_recovery.py
+++ b/tests/test_disk_recovery.py
@@ -28,3 +28,19 @@
     entries = list(recovered.index.entries())
     assert recovered.live_bytes() == sum(entry.record_size for entry in entries)
     assert recovered.get(key) is None
+
+
+def test_compaction_of_an_unreadable_segment_leaves_no_index_entry_of_it():
+    """Guards the byte counts: none of its records can be moved, and the segment is removed."""
+    clock, directory, key = Clock(), MemoryDirectory(FaultPlan(1)), PartKey(1, 0)
+    store = open_store(directory, clock)
+    clock.now_ms += 10
+    assert store.put(key, 1, Copy(b"t1", clock.now_ms, body(*key, 1)))
+    store.close()
+    store = open_store(directory, clock)
+    candidate = store.compaction_candidate()
+    assert candidate is not None
+    directory.read = lambda name: exec("raise OSError(5)")  # EIO
+    exhaust(store.compact(candidate, retain_all))
+    assert store.live_bytes() == sum(entry.record_size for entry in store.index.entries())
+    assert store.get(key) is None
