Disk: the number of a removed segment is not used again

What callers could see: a copy from before a purge, after two kills.

Cause: a compaction with nothing to write removes the newest segment; after a kill, the next segment got its number, as recovery counted the files that are there. Recovery reads the segment at the checkpoint's position from the checkpoint's offset on, so it skipped what had been written there since.

Evidence: test_the_number_of_a_removed_segment_is_not_used_again forces the order, and failed: a copy older than a synced purge was accepted.

Change: recovery counts the checkpoint's segment too. Why it works: a number that a checkpoint knows is never given to another file.

--- a/ironhinge/disk/recovery.py
+++ b/ironhinge/disk/recovery.py
@@ -32,7 +32,8 @@
         """Restores the state; unless the directory is read-only, also cleans it up and makes it durable.
 
         Returns:
-            The number of the newest segment; 0 if there is none.
+            The highest number that a segment has or had at the checkpoint; 0 if there is none. It must not be
+            used again: of the segment at the checkpoint's position only the end is replayed.
 
         Raises:
             ForeignStoreError: the directory belongs to another installation or has another format version.
@@ -51,7 +52,8 @@
         if segment_numbers and not self._directory.read_only:
             self._directory.sync_directory()
         self._check_purges()
-        return max(segment_numbers, default=0)
+        checkpoint_segment = position.segment if position is not None else 0
+        return max([checkpoint_segment, *segment_numbers])
 
     def _remove_partial_files(self, names: list[str]) -> None:
         """Removes the temporary files of interrupted replacements."""
--- a/tests/test_disk_recovery.py
+++ b/tests/test_disk_recovery.py
@@ -44,3 +44,30 @@
     exhaust(store.compact(candidate, retain_all))
     assert store.live_bytes() == sum(entry.record_size for entry in store.index.entries())
     assert store.get(key) is None
+
+
+def test_the_number_of_a_removed_segment_is_not_used_again():
+    """Guards purges: recovery reads the segment of the checkpoint only from the checkpoint's offset on.
+
+    A compaction that has nothing to write removes the newest segment. If the next one got its number, the
+    records before that offset would be skipped, and a purged copy accepted again.
+    """
+    clock, directory, key = Clock(), MemoryDirectory(FaultPlan(1)), PartKey(1, 0)
+    store = open_store(directory, clock)
+    clock.now_ms += 10
+    assert store.put(key, 1, Copy(b"t1", clock.now_ms, body(*key, 1)))
+    store.close()
+    store = open_store(directory, clock)
+    candidate = store.compaction_candidate()
+    assert candidate is not None
+    exhaust(store.compact(candidate, lambda entry: False))
+    store.directory.release()  # the process is killed before the next checkpoint
+    store = open_store(directory, clock)
+    old, purged_at = clock.now_ms, clock.now_ms + 10
+    clock.now_ms += 20
+    store.purge(key.object_id, 1, purged_at)
+    store.flush()
+    store.sync()
+    store.directory.release()  # killed again
+    recovered = open_store(directory, clock)
+    assert not recovered.put(key, 1, Copy(b"t1", old, body(*key, 1)))
