Disk: purges of a segment that compaction can't read are written again

What callers could see: a copy from before a purge, after a kill.

Cause: compaction writes the purges of a segment again as it reads them, and removes the segment also if it could not be read (EIO, a damaged record). Until the next checkpoint the purges were in memory only.

Evidence: test_purges_of_a_segment_that_compaction_can_not_read_are_written_again forces the order, and failed: a copy older than a synced purge was accepted.

Change: where the reading ends before the end of the segment, all known purges are queued again, as after a failed sync. Why it works: they are synced before the segment is removed.

--- a/ironhinge/disk/compaction.py
+++ b/ironhinge/disk/compaction.py
@@ -54,12 +54,16 @@
         data = self._read_segment(segment)
         yield len(data)
         moved_bytes = 0
-        for located in scan_records(data, SEGMENT_HEADER_SIZE, verify_bodies=False):
+        end = SEGMENT_HEADER_SIZE
+        for located in scan_records(data, end, verify_bodies=False):
+            end = located.offset + located.header.record_size
             moved_bytes += self._move_record(located, data, segment, retain)
             if moved_bytes >= STEP_BYTES:
                 self._writer.flush()
                 yield moved_bytes
                 moved_bytes = 0
+        if end < self._state.segments.total_bytes_of(segment):
+            self._writer.enqueue_all_purges()  # some may be in the part that could not be read
         if self._state.is_full and self._writer.pending:
             return
         self._writer.flush()
--- a/ironhinge/disk/segments.py
+++ b/ironhinge/disk/segments.py
@@ -66,6 +66,11 @@
         if usage is not None:
             usage.live_bytes -= entry.record_size
 
+    def total_bytes_of(self, number: int) -> int:
+        """Returns the size of a segment's file; 0 if the table does not have it."""
+        usage = self._usages.get(number)
+        return usage.total_bytes if usage is not None else 0
+
     def live_bytes_of(self, number: int) -> int:
         """Returns the size of the live records in a segment; 0 if the table does not have it."""
         usage = self._usages.get(number)
--- a/ironhinge/disk/writer.py
+++ b/ironhinge/disk/writer.py
@@ -83,6 +83,14 @@
         generation = self._state.next_generation()
         self.enqueue(Record(RecordKind.PURGE_GROUP, generation, group=group, timestamp=purged_at))
 
+    def enqueue_all_purges(self) -> None:
+        """Queues all known purges again, as the records of some may be lost."""
+        with self._state.lock:
+            for object_id, purged_at in self._state.purges.objects.items():
+                self.enqueue_object_purge(object_id, 0, purged_at)
+            for group, purged_at in self._state.purges.groups.items():
+                self.enqueue_group_purge(group, purged_at)
+
     def cancel(self, key: PartKey) -> bool:
         """Removes the copies of a part from the queue; returns whether there were any.
 
@@ -257,8 +265,4 @@
         self._state.count(StoreCounter.FAILED_SYNCS)
         self.close()
         self._is_unsynced = False
-        with self._state.lock:
-            for object_id, purged_at in self._state.purges.objects.items():
-                self.enqueue_object_purge(object_id, 0, purged_at)
-            for group, purged_at in self._state.purges.groups.items():
-                self.enqueue_group_purge(group, purged_at)
+        self.enqueue_all_purges()
--- a/tests/test_disk_recovery.py
+++ b/tests/test_disk_recovery.py
@@ -71,3 +71,24 @@
     store.directory.release()  # killed again
     recovered = open_store(directory, clock)
     assert not recovered.put(key, 1, Copy(b"t1", old, body(*key, 1)))
+
+
+def test_purges_of_a_segment_that_compaction_can_not_read_are_written_again():
+    """Guards purges: the segment is removed, and a kill before the next checkpoint must not forget them."""
+    clock, directory, key = Clock(), MemoryDirectory(FaultPlan(1)), PartKey(1, 0)
+    store = open_store(directory, clock)
+    old, purged_at = clock.now_ms, clock.now_ms + 10
+    clock.now_ms += 20
+    store.purge(key.object_id, 1, purged_at)
+    store.flush()
+    store.sync()
+    store.writer.close()
+    candidate = store.compaction_candidate()
+    assert candidate is not None
+    original = directory.read
+    directory.read = lambda name: exec("raise OSError(5)")  # EIO
+    exhaust(store.compact(candidate, retain_all))
+    directory.read = original
+    store.directory.release()  # the process is killed before the next checkpoint
+    recovered = open_store(directory, clock)
+    assert not recovered.put(key, 1, Copy(b"t1", old, body(*key, 1)))
