Soak: a load of its own, and how long directors waited for a processor

Cause: faults that come on a busy machine had to be played beside other programs, and a lateness for want of a processor could not be told from one of the director's own.

Nothing is excused by them.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,6 +1,6 @@
 """Runs the soak: real directors under faults for many seeds, each audited from clients' and servers' records.
 
-    python -m benchmarks.soak --seeds 50 [--first 1] [--seconds 8] [--jobs 3] [--json]
+    python -m benchmarks.soak --seeds 50 [--first 1] [--seconds 8] [--jobs 3] [--busy 0] [--json]
 
 To run a failed seed again, use `--seeds 1 --first SEED`; `--logs FOLDER` keeps its directors' logs. The exit
 code is 1 if a rule was violated.
@@ -9,9 +9,12 @@
 from __future__ import annotations
 
 import json
+import multiprocessing
 import sys
 import time
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -29,9 +32,32 @@
     return run_plan(draw_plan(seed, seconds), Path(logs) if logs else None)
 
 
+def _spin() -> None:
+    """Use one processor until the process is ended."""
+    while True:
+        pass
+
+
+@contextmanager
+def _busy_processes(count: int) -> Iterator[None]:
+    """Run processes that each use one processor, as other work on the machine would."""
+    processes = [multiprocessing.Process(target=_spin, daemon=True) for _ in range(count)]
+    for process in processes:
+        process.start()
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+
+
 def _print_seed(report: dict[str, Any]) -> None:
     counts = ", ".join(f"{name} {report[name]}" for name in ("requests", "served", *VIOLATIONS, "crossed"))
-    click.echo(f"seed {report['seed']}: {counts}, lag {report['lag_ms']} ms", err=True)
+    click.echo(
+        f"seed {report['seed']}: {counts}, lag {report['lag_ms']} ms, "
+        f"directors without a processor {report['cpu_wait_ms']} ms",
+        err=True,
+    )
     for finding in report["findings"]:
         click.echo(f"  {finding['rule']}: {finding['text']} {finding['trace']}", err=True)
         for line in finding["timeline"]:
@@ -51,6 +77,9 @@
     show_default=True,
     help="Number of seeds that run in parallel.",
 )
+@click.option(
+    "--busy", type=click.IntRange(0), default=0, help="Number of processes that spin beside the seeds."
+)
 @click.option(
     "--logs",
     type=click.Path(file_okay=False),
@@ -59,13 +88,20 @@
 @click.option("--stop-at-first", is_flag=True, help="Start no further seeds after a failed one.")
 @click.option("--json", "as_json", is_flag=True, help="Print the totals as a JSON object on the last line.")
 def main(  # noqa: PLR0913 - one argument per option
-    seeds: int, first: int, seconds: float, jobs: int, logs: str | None, stop_at_first: bool, as_json: bool
+    seeds: int,
+    first: int,
+    seconds: float,
+    jobs: int,
+    busy: int,
+    logs: str | None,
+    stop_at_first: bool,
+    as_json: bool,
 ) -> None:
     """Run and audit SEEDS seeds."""
     began = time.monotonic()
     totals: dict[str, int] = dict.fromkeys((*TOTALS, *VIOLATIONS), 0)
     failed = []
-    with ProcessPoolExecutor(jobs) as pool:
+    with _busy_processes(busy), ProcessPoolExecutor(jobs) as pool:
         numbers = range(first, first + seeds)
         for report in pool.map(_run_seed, numbers, [seconds] * seeds, [logs] * seeds):
             _print_seed(report)
--- a/ironhinge/lab/soak/directors.py
+++ b/ironhinge/lab/soak/directors.py
@@ -30,6 +30,7 @@
 ACCEPTING_AFTER_TERM = 0.4  # seconds after SIGTERM during which clients still open connections
 EXIT_POLL_INTERVAL = 0.01  # seconds
 KB_PER_MB = 1024
+MIN_CPU_WAIT = 0.02  # seconds; shorter waits for a processor are not recorded
 PR_SET_PDEATHSIG = 1  # option of prctl(2)
 
 
@@ -217,7 +218,7 @@
         task.add_done_callback(self._pauses.discard)
 
     def measure(self) -> None:
-        """Update the peak descriptor count and peak memory of the process from /proc."""
+        """Update the peak descriptor count, the peak memory and the waits for a processor from /proc."""
         process, record = self.process, self.record
         if process is None or record is None or process.returncode is not None:
             return
@@ -227,5 +228,10 @@
             for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
                 if line.startswith("VmHWM"):
                     record.peak_memory_mb = max(record.peak_memory_mb, int(line.split()[1]) / KB_PER_MB)
+            # nanoseconds on a processor, nanoseconds ready to run without one, and time slices
+            cpu_wait = int(Path(f"/proc/{process.pid}/schedstat").read_text().split()[1]) / 1e9
         except OSError:
-            pass  # the process has just exited
+            return  # the process has just exited
+        if cpu_wait > record.cpu_wait + MIN_CPU_WAIT:
+            record.cpu_waits.append((time.monotonic(), cpu_wait - record.cpu_wait))
+        record.cpu_wait = cpu_wait
--- a/ironhinge/lab/soak/records.py
+++ b/ironhinge/lab/soak/records.py
@@ -132,6 +132,8 @@
     pauses: list[tuple[float, float]] = field(default_factory=list)  # from SIGSTOP to SIGCONT
     peak_descriptors: int = 0
     peak_memory_mb: float = 0.0
+    cpu_wait: float = 0.0  # seconds that the process was ready to run and had no processor
+    cpu_waits: list[tuple[float, float]] = field(default_factory=list)  # when measured, and the longer waits
     log_path: str = ""
 
 
--- a/ironhinge/lab/soak/report.py
+++ b/ironhinge/lab/soak/report.py
@@ -39,10 +39,16 @@
         "broken_rules": audit_result.count(*OTHER_RULES),
         "crashes": audit_result.count(Rule.CRASH),
         "lag_ms": round(records.max_lag * 1000, 1),
+        "cpu_wait_ms": round(1000 * max(_cpu_waits(records), default=0.0), 1),
         "findings": [_describe(finding, records) for finding in audit_result.findings[:MAX_FINDINGS]],
     }
 
 
+def _cpu_waits(records: Records) -> list[float]:
+    """Return for how long directors waited for a processor, between two measurements each."""
+    return [wait for incarnation in records.incarnations for _, wait in incarnation.cpu_waits]
+
+
 def _describe(finding: Finding, records: Records) -> dict[str, Any]:
     lines = timeline(finding.trace, records) if finding.trace else []
     return {"rule": finding.rule, "text": finding.text, "trace": finding.trace, "timeline": lines}
--- a/ironhinge/lab/soak/timeline.py
+++ b/ironhinge/lab/soak/timeline.py
@@ -66,4 +66,6 @@
                 entries.append((at, f"director: {text}"))
         for begin, end in incarnation.pauses:
             entries.append((begin, f"director stopped for {end - begin:.3f} s"))
+        for at, wait in incarnation.cpu_waits:
+            entries.append((at, f"director had waited {wait:.3f} s for a processor"))
     return entries
