--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -132,7 +132,7 @@
         Its client may have been silent since before the accept: it could send once it was in the backlog.
         """
         self.connection = connection
-        self.waiting_since -= int(connection.silence_at_accept * SECOND)
+        self.waiting_since -= int(connection.idle_time_at_accept * SECOND)
         self._owner.on_client_connected(self)
         if self._owner.is_shutting_down():
             self.announce_close(CloseCause.SHUTDOWN, None)
--- a/ironhinge/net/client_registry.py
+++ b/ironhinge/net/client_registry.py
@@ -6,8 +6,8 @@
 
 from .client_connection import ClientConnection, CloseCause, Usage
 from .client_timeouts import (
-    MIN_SILENCE,
-    MIN_SILENCE_AFTER_REQUESTS,
+    MIN_IDLE_TIME,
+    MIN_IDLE_TIME_AFTER_REQUESTS,
     STALLED_TIMEOUT_WHEN_FULL,
     UNUSED_SHUTDOWN_NOTICE_PERIOD,
 )
@@ -85,11 +85,11 @@
         # a client that goes on sending delays its close, which must not keep the unused connections open
         if sum(client.usage is not Usage.REQUESTS for client in closing) >= max_closing:
             return False
-        idle = self._longest_silent(now, has_requests=False)
+        idle = self._longest_idle(now, has_requests=False)
         may_close_others = len(closing) < max_closing
         if idle is None and may_close_others:
-            min_silence = MIN_SILENCE if is_full else MIN_SILENCE_AFTER_REQUESTS
-            idle = self._longest_silent(now, has_requests=True, min_silence=min_silence)
+            min_idle_time = MIN_IDLE_TIME if is_full else MIN_IDLE_TIME_AFTER_REQUESTS
+            idle = self._longest_idle(now, has_requests=True, min_idle_time=min_idle_time)
         if idle is not None:
             idle.close_for_capacity(is_full)
             return True
@@ -101,20 +101,21 @@
         """Returns whether an idle connection without requests is open; it may be closed soon."""
         return any(client.usage is not Usage.REQUESTS and client.is_idle() for client in self._clients)
 
-    def _longest_silent(
-        self, now: int, has_requests: bool, min_silence: int = MIN_SILENCE
+    def _longest_idle(
+        self, now: int, has_requests: bool, min_idle_time: int = MIN_IDLE_TIME
     ) -> ClientConnection | None:
-        """Returns the idle connection that has been silent longest, at least for `min_silence`; or None.
+        """Returns the idle connection that has been silent longest, at least for `min_idle_time`; or None.
 
         Args:
             now: The time.
             has_requests: Whether the connection has to have carried requests, or must not have.
-            min_silence: Tenths of a millisecond.
+            min_idle_time: Tenths of a millisecond.
         """
         candidates = [
             client
             for client in self._clients
-            if (client.usage is Usage.REQUESTS) is has_requests and client.waiting_since <= now - min_silence
+            if (client.usage is Usage.REQUESTS) is has_requests
+            and client.waiting_since <= now - min_idle_time
         ]
         for client in sorted(candidates, key=lambda client: client.waiting_since):
             if client.is_idle():
@@ -130,7 +131,7 @@
         """Starts to close the connections of clients that never sent a frame."""
         for client in self:
             if client.usage is Usage.NONE:
-                client.announce_close(CloseCause.SHUTDOWN, UNUSED_SHUTDOWN_NOTICE_PERIOD, MIN_SILENCE)
+                client.announce_close(CloseCause.SHUTDOWN, UNUSED_SHUTDOWN_NOTICE_PERIOD, MIN_IDLE_TIME)
 
     def close_all(self) -> None:
         """Shuts down this side of every connection, once its queued output is sent."""
--- a/ironhinge/net/client_timeouts.py
+++ b/ironhinge/net/client_timeouts.py
@@ -23,16 +23,16 @@
 
 # Shortest silence after which a connection may be closed for a new one: a request that was sent as soon as
 # the connection was established, or after the latest answer, has arrived by then.
-MIN_SILENCE = NETWORK_DELAY + SCHEDULING_ALLOWANCE
-MIN_SILENCE_AFTER_REQUESTS = SECOND  # for one that has carried requests, while descriptors are left
+MIN_IDLE_TIME = NETWORK_DELAY + SCHEDULING_ALLOWANCE
+MIN_IDLE_TIME_AFTER_REQUESTS = SECOND  # for one that has carried requests, while descriptors are left
 
 # How long a connection must have been quiet after GOAWAY before this side is shut down: GOAWAY arrives, and
 # what was sent before that does.
 NOTICE_PERIOD = 2 * NETWORK_DELAY + 2 * SCHEDULING_ALLOWANCE
 # No descriptor is left: with a longer notice, connections would arrive faster than they are closed.
 NOTICE_PERIOD_WHEN_FULL = 60 * MILLISECOND
-# During shutdown, for a client that never sent a frame and has been silent for `MIN_SILENCE`; GOAWAY was sent
-# at the start of the shutdown or at the accept.
+# During shutdown, for a client that never sent a frame and has been silent for `MIN_IDLE_TIME`; GOAWAY was
+# sent at the start of the shutdown or at the accept.
 UNUSED_SHUTDOWN_NOTICE_PERIOD = 100 * MILLISECOND
 
 # Time for the client to close its side; after that the socket is closed, even if output is unread.
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -33,7 +33,7 @@
 SOCKET_RELEASE_TURNS = 3  # turns of the event loop in which a closed connection releases its socket
 # Seconds; after a longer wait in the backlog, the system is asked for the age of a connection's data.
 BACKLOG_WAIT_THRESHOLD = 0.03
-UNKNOWN_SILENCE = -1.0
+UNKNOWN_IDLE_TIME = -1.0
 KERNEL_CLOCK_RESOLUTION = 0.01  # seconds; the kernel counts a connection's times in its timer ticks
 CONNECT_FAILURE_ENDS = {  # the end of a connection that was not established
     Remedy.REFUSED: AttemptEnd.CONNECTION_REFUSED,
@@ -245,7 +245,7 @@
         now = monotonic()
         waited = now - self.backlog_empty_at
         if waited > BACKLOG_WAIT_THRESHOLD:
-            silence = self.calls.seconds_since_data(sock, UNKNOWN_SILENCE)
-            is_known = 0 <= silence <= waited + KERNEL_CLOCK_RESOLUTION
-            connection.backlog_data_at = now - (silence if is_known else waited)
-            connection.silence_at_accept = min(silence, waited) if is_known else 0.0
+            idle_time = self.calls.seconds_since_data(sock, UNKNOWN_IDLE_TIME)
+            is_known = 0 <= idle_time <= waited + KERNEL_CLOCK_RESOLUTION
+            connection.backlog_data_at = now - (idle_time if is_known else waited)
+            connection.idle_time_at_accept = min(idle_time, waited) if is_known else 0.0
--- a/tests/test_begun_frames.py
+++ b/tests/test_partial_frames.py
@@ -24,7 +24,7 @@
         return (content,) if content else ()
 
 
-def send_begun_frame(monkeypatch, render, seconds, remedy=None):
+def send_partly(monkeypatch, render, seconds, remedy=None):
     """Sends a part of a frame, stops the process or refuses output for `seconds`, and goes on.
 
     Returns:
@@ -62,18 +62,18 @@
     return outcome[0]
 
 
-def test_the_rest_of_a_begun_frame_is_rendered_again(monkeypatch):
+def test_the_rest_of_a_partly_sent_frame_is_rendered_again(monkeypatch):
     """Guards deadlines: the time remaining was sent as it was before a stop between two parts."""
     render = Rendered(b"command=a,ms=2000", b"command=a,ms=1700")
-    assert send_begun_frame(monkeypatch, render, 0.3) == (b"command=a,ms=1700", False, 0)
+    assert send_partly(monkeypatch, render, 0.3) == (b"command=a,ms=1700", False, 0)
 
 
 @pytest.mark.parametrize("new", [b"command=a,ms=1", b"command=a,ms=2000 and more"])
-def test_a_begun_frame_may_become_shorter_or_longer(monkeypatch, new):
-    assert send_begun_frame(monkeypatch, Rendered(b"command=a,ms=2000", new), 0.3) == (new, False, 0)
+def test_a_partly_sent_frame_may_become_shorter_or_longer(monkeypatch, new):
+    assert send_partly(monkeypatch, Rendered(b"command=a,ms=2000", new), 0.3) == (new, False, 0)
 
 
-def test_a_begun_frame_larger_than_the_ring_is_rendered_again(monkeypatch):
+def test_a_partly_sent_frame_larger_than_the_ring_is_rendered_again(monkeypatch):
     """Its bytes in the ring and those in the queue are both replaced, and counted once."""
     old, new = b"command=a,ms=2000" + b"x" * 100_000, b"command=a,ms=17" + b"y" * 90_000
 
@@ -100,28 +100,28 @@
 
 
 @pytest.mark.parametrize("new", [b"command=b,ms=1700", b""])
-def test_a_begun_frame_that_can_not_be_corrected_ends_its_connection(monkeypatch, new):
+def test_a_partly_sent_frame_that_can_not_be_corrected_ends_its_connection(monkeypatch, new):
     """The peer must not get a time remaining from before the stop; half a command has no effect."""
-    received, is_closed, _ = send_begun_frame(monkeypatch, Rendered(b"command=a,ms=2000", new), 0.3)
+    received, is_closed, _ = send_partly(monkeypatch, Rendered(b"command=a,ms=2000", new), 0.3)
     assert received == b"command=a,ms"
     assert is_closed
 
 
-def test_a_begun_frame_is_completed_unchanged_after_a_short_stop(monkeypatch):
+def test_a_partly_sent_frame_is_completed_unchanged_after_a_short_stop(monkeypatch):
     """Within the slack of deadlines, what else is in flight on the connection is worth more."""
     render = Rendered(b"command=a,ms=2000", b"command=b,ms=1960")
-    assert send_begun_frame(monkeypatch, render, 0.04) == (b"command=a,ms=2000", False, 0)
+    assert send_partly(monkeypatch, render, 0.04) == (b"command=a,ms=2000", False, 0)
 
 
-def test_a_begun_frame_is_completed_unchanged_for_a_slow_peer(monkeypatch):
+def test_a_partly_sent_frame_is_completed_unchanged_for_a_slow_peer(monkeypatch):
     """A peer that reads late also gets late what the system accepted long ago: no reason to end all on it."""
     render = Rendered(b"command=a,ms=2000", b"command=b,ms=1700")
-    assert send_begun_frame(monkeypatch, render, 0.3, Remedy.WAIT) == (b"command=a,ms=2000", False, 0)
+    assert send_partly(monkeypatch, render, 0.3, Remedy.WAIT) == (b"command=a,ms=2000", False, 0)
 
 
-def test_a_begun_frame_that_this_machine_holds_up_ends_its_connection(monkeypatch):
+def test_a_partly_sent_frame_that_this_machine_holds_up_ends_its_connection(monkeypatch):
     """A shortage on this machine is not the peer's slowness."""
     render = Rendered(b"command=a,ms=2000", b"command=b,ms=1700")
-    received, is_closed, _ = send_begun_frame(monkeypatch, render, 0.3, Remedy.PAUSE)
+    received, is_closed, _ = send_partly(monkeypatch, render, 0.3, Remedy.PAUSE)
     assert received == b"command=a,ms"
     assert is_closed
