--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -18,6 +18,8 @@
 from enum import Enum
 from typing import Protocol
 
+from loguru import logger
+
 from . import client_wire
 from .attempt_end import AttemptEnd
 from .client_timeouts import (
@@ -29,7 +31,7 @@
     NOTICE_PERIOD_WHEN_FULL,
     STALLED_TIMEOUT,
 )
-from .clock import SECOND, Clock
+from .clock import MILLISECOND, SECOND, Clock
 from .connection import Connection
 from .event_log import EventKind, EventLog
 from .open_request import OpenRequest
@@ -215,7 +217,7 @@
             self.phase = Phase.ANNOUNCED
             self.close_cause = cause
             self.connection.write(client_wire.goaway())
-            self._record(EventKind.CLIENT_GOAWAY_SENT)
+            self._record_close_step(EventKind.CLIENT_GOAWAY_SENT)
         if notice_period is None:
             self.close_not_before, self.quiet_period = None, 0
         elif self.close_not_before is None:
@@ -236,7 +238,7 @@
         )
         self.phase = Phase.HALF_CLOSED
         self.close_not_before = self._owner.clock.now() + lingering_timeout
-        self._record(EventKind.CLIENT_HALF_CLOSED)
+        self._record_close_step(EventKind.CLIENT_HALF_CLOSED)
         self.connection.finish()
 
     def _close_for_violation(self, text: str) -> None:
@@ -295,6 +297,7 @@
         if not self.is_quiet():
             return
         if self._is_unused_for_capacity() and not self._owner.may_linger():
+            self._record_close_step(EventKind.CLIENT_CLOSED_AT_ONCE)
             self.connection.close(AttemptEnd.CLOSED)  # frees the descriptor at once
         else:
             self.half_close()
@@ -353,6 +356,17 @@
             self._owner.on_client_disconnected(request)
         self.open_requests.clear()
 
+    def _record_close_step(self, kind: EventKind) -> None:
+        """Records a step of the close, with the facts that explain a request that is lost by it."""
+        idle_ms = (self._owner.clock.now() - self.waiting_since) // MILLISECOND
+        facts = (
+            f"usage={self.usage.name.lower()} idle_ms={idle_ms} "
+            f"unread={self.connection.has_unread()} open_requests={len(self.open_requests)}"
+        )
+        self._record(kind, facts)
+        cause = self.close_cause.value if self.close_cause is not None else ""
+        logger.debug("{} client={} cause={} {}", kind.value, self.number, cause, facts)
+
     def _name(self) -> str:
         return f"client {self.number}"
 
--- a/ironhinge/net/event_log.py
+++ b/ironhinge/net/event_log.py
@@ -25,6 +25,7 @@
     SYSTEM_CALL_FAILED = "system_call_failed"
     CLIENT_GOAWAY_SENT = "client_goaway_sent"  # the client was asked to send no new requests
     CLIENT_HALF_CLOSED = "client_half_closed"  # this side of a client's connection was shut down
+    CLIENT_CLOSED_AT_ONCE = "client_closed_at_once"  # by us after GOAWAY, without waiting for its end
     CLIENT_CLOSED = "client_closed"
     REQUEST_REJECTED = "request_rejected"
     REQUEST_FAILED = "request_failed"
--- a/tests/test_connection_reclaim.py
+++ b/tests/test_connection_reclaim.py
@@ -1,12 +1,19 @@
 """Which client connections a director closes while descriptors are short, and what their clients are told."""
 
 import contextlib
+import re
 import socket
 import threading
 import time
 
 import pytest
 
+from ironhinge.config import Address
+from ironhinge.net.client_connection import ClientConnection
+from ironhinge.net.clock import SECOND
+from ironhinge.net.event_log import EventKind
+from ironhinge.net.socket_calls import listen
+
 from .helpers import (
     TIMEOUT_SECONDS,
     DirectorProcess,
@@ -18,6 +25,7 @@
     free_port,
     settings,
 )
+from .test_director import FakeRouter, run_director
 
 ANSWER_CODES = 1, 2, 3  # served, rejected, failed
 GOAWAY, RESPONSE = 3, 8  # frame types
@@ -99,3 +107,24 @@
     assert [kinds for kinds in frames if RESPONSE not in kinds and GOAWAY not in kinds] == []
     if silence <= 0.3:  # the longest delay of the network in one direction
         assert [kinds for kinds in frames if RESPONSE not in kinds] == []
+
+
+def test_each_step_of_a_close_is_recorded_with_its_facts():
+    """Guards the search for lost requests: the log had no line for a connection that the director ended."""
+
+    async def scenario(director, _, wait_until):
+        listener = listen(Address("127.0.0.1", 0))
+        with socket.create_connection(listener.getsockname()):
+            client = ClientConnection(director)
+            director.manager.adopt(listener.accept()[0], client)
+            client.waiting_since -= SECOND
+            assert director.clients.reclaim_descriptor(True)
+            client.connection.has_unread = lambda: True
+            client.half_close()
+        steps = [event for event in director.event_log.events() if event.detail.startswith("usage=")]
+        assert [step.kind for step in steps] == [EventKind.CLIENT_GOAWAY_SENT, EventKind.CLIENT_HALF_CLOSED]
+        assert {step.cause for step in steps} == {"capacity"}
+        assert re.fullmatch("usage=none idle_ms=1[0-9]{3} unread=False open_requests=0", steps[0].detail)
+        assert "unread=True" in steps[1].detail
+
+    run_director(FakeRouter(), scenario)
