Backlog: a descriptor is freed at once for each connection that waits

Cause: since idle time has to cover the network, most connections wait for a descriptor. Only half of the descriptors could be freed at a time, and a notice ended with the next maintenance run, so that the backlog took two rounds of up to 110 ms after the stop.

Change: as many are freed as wait, which bounds it well enough, and due steps are taken when a descriptor is looked for (every 10 ms).

Evidence: log lines with the backlog's length and the closes under way; test_a_descriptor_is_freed_for_each_connection_that_waits_after_a_stop failed before.

--- a/ironhinge/net/client_registry.py
+++ b/ironhinge/net/client_registry.py
@@ -76,11 +76,10 @@
         Returns:
             False if no connection may be closed.
         """
-        closing = [client for client in self._clients if client.close_cause in CLOSING_CAUSES]
         now = self._clock.now()
         if is_full:
-            for client in closing:
-                client.shorten_notice(now)
+            self._hasten_closes(now)
+        closing = self._closing()
         max_closing = self._manager.max_concurrent_closes()
         # a client that goes on sending delays its close, which must not keep the unused connections open
         if sum(client.usage is not Usage.REQUESTS for client in closing) >= max_closing:
@@ -97,6 +96,16 @@
             return any(client.close_if_stalled(now, STALLED_TIMEOUT_WHEN_FULL) for client in self)
         return False
 
+    def _closing(self) -> list[ClientConnection]:
+        """Returns the connections that are being closed to free their descriptors."""
+        return [client for client in self._clients if client.close_cause in CLOSING_CAUSES]
+
+    def _hasten_closes(self, now: int) -> None:
+        """Shortens notices and takes the steps that are due, without waiting for the next maintenance."""
+        for client in self._closing():
+            client.shorten_notice(now)
+            client.check_timeouts(now)
+
     def _has_unused(self) -> bool:
         """Returns whether an idle connection without requests is open; it may be closed soon."""
         return any(client.usage is not Usage.REQUESTS and client.is_idle() for client in self._clients)
--- a/ironhinge/net/descriptor_budget.py
+++ b/ironhinge/net/descriptor_budget.py
@@ -19,7 +19,6 @@
 # Connections that only wait for their peers to close don't count as in use, up to this share of the
 # descriptors.
 FINISHING_ALLOWANCE = 0.05
-MAX_CLOSING_SHARE = 0.5  # share of the descriptors whose connections may be closing while none is left
 
 
 class DescriptorBudget:
@@ -70,7 +69,7 @@
     def max_concurrent_closes(self) -> int:
         """Returns how many connections may be closing at a time to free descriptors."""
         if self.is_full():
-            return max(1, min(self.waiting_connections, int(MAX_CLOSING_SHARE * self.descriptor_limit)))
+            return self.waiting_connections
         excess = self.descriptors_in_use() - RECLAIM_THRESHOLD * CLIENT_SHARE * self.descriptor_limit
         return max(1, int(excess))
 
--- a/tests/test_connection_reclaim.py
+++ b/tests/test_connection_reclaim.py
@@ -6,10 +6,11 @@
 import threading
 import time
 
+import anyio
 import pytest
 
 from ironhinge.config import Address
-from ironhinge.net.client_connection import ClientConnection
+from ironhinge.net.client_connection import ClientConnection, Phase
 from ironhinge.net.clock import SECOND
 from ironhinge.net.event_log import EventKind
 from ironhinge.net.socket_calls import listen
@@ -128,3 +129,30 @@
         assert "unread=True" in steps[1].detail
 
     run_director(FakeRouter(), scenario)
+
+
+def test_a_descriptor_is_freed_for_each_connection_that_waits_after_a_stop():
+    """Guards the time in the backlog: half of those that waited got a descriptor only in a second round, so
+    that requests with a short timeout were answered too late."""
+
+    async def scenario(director, _, wait_until):
+        listener = listen(Address("127.0.0.1", 0))
+        peers, idle = [], []
+        for _ in range(8):
+            peers.append(socket.create_connection(listener.getsockname()))
+            idle.append(ClientConnection(director))
+            director.manager.adopt(listener.accept()[0], idle[-1])
+            idle[-1].waiting_since -= SECOND
+        director.manager.descriptor_limit = director.manager.open_sockets
+        director.manager.waiting_connections = 7
+        assert [director.clients.reclaim_descriptor(True) for _ in range(8)] == [True] * 7 + [False]
+        assert [client.phase for client in idle] == [Phase.ANNOUNCED] * 7 + [Phase.OPEN]
+        await anyio.sleep(0.08)
+        director.clients.reclaim_descriptor(True)  # the steps that are due don't wait for the maintenance
+        assert not any(
+            client.phase is Phase.ANNOUNCED for client in director.clients if client is not idle[7]
+        )
+        for peer in peers:
+            peer.close()
+
+    run_director(FakeRouter(), scenario)
