Reclaim: lingering connections don't limit the closes while full

Cause: the limit on closes was worked out from is_full() at each of them. Connections that linger don't count as in use, so it fell from all that wait to the excess over the threshold, 44, as soon as some lingered.

Change: while no descriptor is left for a new connection, as many may be closed as wait. The new test failed before (3 of 7 closes).

--- a/ironhinge/net/client_registry.py
+++ b/ironhinge/net/client_registry.py
@@ -81,6 +81,8 @@
             self._hasten_closes(now)
         closing = self._closing()
         max_closing = self._manager.max_concurrent_closes()
+        if is_full:  # also where connections that only linger leave some descriptors by now
+            max_closing = max(max_closing, self._manager.waiting_connections)
         # a client that goes on sending delays its close, which must not keep the unused connections open
         if sum(client.usage is not Usage.REQUESTS for client in closing) >= max_closing:
             return False
--- a/tests/test_connection_reclaim.py
+++ b/tests/test_connection_reclaim.py
@@ -156,3 +156,25 @@
             peer.close()
 
     run_director(FakeRouter(), scenario)
+
+
+def test_lingering_connections_do_not_limit_the_closes_while_no_descriptor_is_left():
+    """Guards the time in the backlog: connections that linger don't count as in use, so that the limit on
+    closes fell to the one that holds while descriptors are left."""
+
+    async def scenario(director, _, wait_until):
+        listener, manager = listen(Address("127.0.0.1", 0)), director.manager
+        peers = [socket.create_connection(listener.getsockname()) for _ in range(8)]
+        for _ in peers:
+            client = ClientConnection(director)
+            manager.adopt(listener.accept()[0], client)
+            client.waiting_since -= SECOND
+        manager.waiting_connections = 7
+        manager.descriptor_limit, manager.open_sockets, manager.finishing_count = 100, 85, 5
+        assert not manager.is_full()
+        assert [director.clients.reclaim_descriptor(True) for _ in range(8)] == [True] * 7 + [False]
+        manager.open_sockets, manager.finishing_count = len(peers), 0
+        for peer in peers:
+            peer.close()
+
+    run_director(FakeRouter(), scenario)
