--- a/ironhinge/net/acceptor.py
+++ b/ironhinge/net/acceptor.py
@@ -21,6 +21,9 @@
 from .timed_selector import TimedSelector
 
 FULL_RETRY_INTERVAL = 0.01  # seconds between checks for a free descriptor while none is left
+# Length that a backlog of unknown length is assumed to have while no descriptor is left, as a share of the
+# descriptors
+ASSUMED_BACKLOG_SHARE = 0.5
 
 
 class DescriptorReclaimer(Protocol):
@@ -140,8 +143,10 @@
 
     def _reclaim_for_waiting(self) -> None:
         """Starts to close a connection for each one that waits in the backlog, as far as that is allowed."""
-        waiting = max(1, self._owner.calls.backlog_length(self._listener))
-        self._owner.waiting_connections = waiting
+        waiting = self._owner.calls.backlog_length(self._listener)
+        if waiting is None:
+            waiting = int(ASSUMED_BACKLOG_SHARE * self._owner.descriptor_limit)
+        self._owner.waiting_connections = waiting = max(1, waiting)
         for _ in range(waiting):
             if not self._reclaim_descriptor(True):
                 return
--- a/ironhinge/net/socket_calls.py
+++ b/ironhinge/net/socket_calls.py
@@ -148,11 +148,11 @@
             return default
         return int.from_bytes(info[TCP_LAST_DATA_RECEIVED], sys.byteorder) / 1000
 
-    def backlog_length(self, listener: socket.socket) -> int:
-        """Returns how many connections wait to be accepted; 0 if it is unknown."""
+    def backlog_length(self, listener: socket.socket) -> int | None:
+        """Returns how many connections wait to be accepted; None if it is unknown."""
         info = self._tcp_info(listener)
         if len(info) < TCP_BACKLOG_LENGTH.stop or info[0] != TCP_LISTEN:
-            return 0
+            return None
         return int.from_bytes(info[TCP_BACKLOG_LENGTH], sys.byteorder)
 
     def _tcp_info(self, sock: socket.socket) -> bytes:
--- a/tests/test_connection_reclaim.py
+++ b/tests/test_connection_reclaim.py
@@ -178,3 +178,27 @@
             peer.close()
 
     run_director(FakeRouter(), scenario)
+
+
+def test_a_backlog_of_unknown_length_is_assumed_to_be_long():
+    """Guards systems that don't tell the length: one descriptor at a time was freed for a crowd."""
+    calls = []
+
+    def reclaim(is_full):
+        calls.append(is_full)
+        return len(calls) < 100
+
+    async def scenario(director, _, wait_until):
+        listener, manager = listen(Address("127.0.0.1", 0)), director.manager
+        manager.calls.backlog_length = lambda sock: None
+        manager.descriptor_limit, manager.open_sockets = 40, 40
+        with socket.create_connection(listener.getsockname()):
+            manager.task_group.start_soon(
+                manager.accept, listener, lambda: ClientConnection(director), reclaim
+            )
+            await wait_until(lambda: calls)
+            manager.open_sockets = 0
+        assert len(calls) % 20 == 0
+        listener.close()
+
+    run_director(FakeRouter(), scenario)
