Discovery: a reload applies the events that its file knows

What callers saw: with discovery down, a node that a new configuration lists as draining was used until discovery was back, 0.5 to 0.7 s too long.

Cause: a reload took only the discovery service's address from the file.

Change: known events are applied if the file knows some that have not arrived. The service is still asked from the last event that arrived from it, and endpoint lists that the file includes are passed over.

--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -1,7 +1,8 @@
 """Follows the discovery service: keeps a connection to its configured address and applies its events.
 
 Events are numbered; those that were applied already are ignored. Each event is reported to the router, and
-unsent attempts that it makes invalid are withdrawn.
+unsent attempts that it makes invalid are withdrawn. A reloaded configuration may know events that have not
+arrived yet, for example while the service is down.
 """
 
 from __future__ import annotations
@@ -37,7 +38,7 @@
 SILENCE_CHECK_INTERVAL = SECOND // 4
 MIN_RECONNECT_PAUSE = 0.05  # seconds
 MAX_RECONNECT_PAUSE = 0.4  # seconds; the protocol counts events as delivered 2 s after a break
-# fields that may change in a reloaded configuration without a warning; only `discovery_address` takes effect
+# fields that may change in a reloaded configuration without a warning; `seed` takes no effect
 RELOADABLE_FIELDS = "seed", "known", "known_index", "discovery_address"
 MAX_WRITE_INTERVAL_MS = 1000  # longest interval between two frames of the service
 
@@ -79,6 +80,7 @@
         self._pool = pool
         self._clock = clock
         self._listener = listener
+        self._reloaded_list_index = 0  # of the last event that the endpoint list of a reload includes
         self._caught_up_at = clock.now()  # all events up to this instant have been received
 
     def set_caught_up(self, now: int) -> None:
@@ -101,9 +103,28 @@
         self.last_index = update.event_index
         if isinstance(update, PurgeUpdate):
             self._apply_purge(update)
-        else:
+        elif update.event_index > self._reloaded_list_index:
             self._apply_list(update)
 
+    def _apply_reloaded(self, config: DirectorConfig) -> None:
+        """Applies the known events of a reloaded configuration, if it knows some that have not arrived.
+
+        The service is still asked for all events after the last one that arrived from it: the configuration
+        may lack purges. Endpoint lists that its own list includes are ignored then, since they are older.
+        """
+        has_full_list = any(
+            isinstance(update, EndpointListUpdate) and update.is_full for update in config.known
+        )
+        if config.known_index <= max(self.last_index, self._reloaded_list_index) or not has_full_list:
+            return
+        for update in config.known:
+            if isinstance(update, PurgeUpdate):
+                self._apply_purge(update)
+            else:
+                self._apply_list(update)
+        self._reloaded_list_index = config.known_index
+        logger.info("config_events_applied index={}", config.known_index)
+
     def _apply_list(self, update: EndpointListUpdate) -> None:
         event = EndpointsUpdated(update.is_full, self._apply_endpoints(update))
         if self.traffic_account is not None:
@@ -185,15 +206,16 @@
                 current.connection.close(AttemptEnd.TIMED_OUT)
 
     def apply_config(self, config: DirectorConfig) -> None:
-        """Applies a reloaded configuration: connects to the discovery service at its new address.
+        """Applies a reloaded configuration: its known events, and the address of the discovery service.
 
-        The new connection continues after the last event applied. Changes of other fields need a restart and
-        are logged.
+        A new connection continues after the last event that arrived. Changes of other fields need a restart
+        and are logged.
         """
         for name in DirectorConfig._fields:
             if name not in RELOADABLE_FIELDS and getattr(config, name) != getattr(self._config, name):
                 key = CONFIG_KEYS.get(name, name)
                 logger.warning("config_change_needs_restart key={}", key)
+        self._apply_reloaded(config)
         address = config.discovery_address
         if address == self._config.discovery_address:
             logger.info("config_reloaded discovery=unchanged")
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -339,6 +339,39 @@
     assert time.monotonic() - started_at < 3.9
 
 
+def test_a_drain_in_a_new_configuration_is_kept_while_the_coordinator_is_silent(create_environment):
+    """Guards drains and purges: a drain that only the file tells was learned when discovery was back."""
+    environment = create_environment([FakeUpstream(), FakeUpstream()])
+    coordinator, (first, second) = environment.coordinator, environment.caches
+    _, connection = coordinator.subscriptions.get(timeout=TIMEOUT_SECONDS)
+    config = json.loads(environment.program.config_path.read_text())
+    listed = config["known"]["updates"][0]["endpoints"]["endpoints"]
+    (drained,) = [row for row in listed if row["name"] == environment.endpoint_id(first)]
+    drained["status"] = "DRAINING"
+    config["known"]["index"] = 3
+    environment.program.config_path.write_text(json.dumps(config))
+    for _ in range(2):
+        environment.program.process.send_signal(signal.SIGHUP)
+        time.sleep(0.2)
+    while not first.commands.empty():
+        first.commands.get()
+    for i in range(12):
+        assert environment.client.read_answer(environment.client.send_request(entity=f"{i:016x}"))[0] == DONE
+    # an older event must not undo the drain; the purge after it is not in the file and has to be applied
+    coordinator.publish(2, 2, endpoint_record(environment.endpoint_id(first), first.address, 0))
+    coordinator.publish(3, 4, (17).to_bytes(2, "big") + int(time.time() * 1000).to_bytes(8, "big"))
+    time.sleep(0.2)
+    for i in range(12):
+        assert environment.client.read_answer(environment.client.send_request(entity=f"{i:016x}"))[0] == DONE
+    assert first.commands.empty()
+    assert second.commands.qsize() >= 24
+    while second.commands.qsize() > 1:
+        second.commands.get()
+    assert 0 < int(second.next_command()[2]["accept"]) <= 1000
+    assert environment.program.log_text().count("config_events_applied") == 1
+    connection.close()
+
+
 def test_sighup_switches_to_a_new_coordinator_and_an_invalid_file_changes_nothing(create_environment):
     environment, sighup = create_environment([FakeUpstream(), FakeUpstream()]), signal.SIGHUP
     coordinator, (first, second) = environment.coordinator, environment.caches
