Tests: no connection ends over an unread request, whatever ends it

Change: reclaim with and without descriptors, time-outs, the end of a notice, shutdown; each with a request that is whole or in two pieces, unread as no turn of the loop came or as recv fails for a moment.

--- a/tests/test_connection_reclaim.py
+++ b/tests/test_connection_reclaim.py
@@ -9,11 +9,15 @@
 import anyio
 import pytest
 
+from ironhinge import interface
 from ironhinge.config import Address
-from ironhinge.net.client_connection import ClientConnection, Phase
+from ironhinge.net import client_wire
+from ironhinge.net.client_connection import ClientConnection, CloseCause, Phase
+from ironhinge.net.client_timeouts import NOTICE_PERIOD_WHEN_FULL
 from ironhinge.net.clock import SECOND
 from ironhinge.net.event_log import EventKind
 from ironhinge.net.socket_calls import listen
+from ironhinge.net.system_calls import Remedy
 
 from .helpers import (
     TIMEOUT_SECONDS,
@@ -26,7 +30,8 @@
     free_port,
     settings,
 )
-from .test_director import FakeRouter, run_director
+from .test_director import TRACE, FakeRouter, run_director
+from .test_network_races import receive_all, request_bytes
 
 ANSWER_CODES = 1, 2, 3  # served, rejected, failed
 GOAWAY, RESPONSE = 3, 8  # frame types
@@ -202,3 +207,81 @@
         listener.close()
 
     run_director(FakeRouter(), scenario)
+
+
+def end_by_reclaim_with_descriptors_left(director, client):
+    client.waiting_since -= 10 * SECOND
+    director.clients.reclaim_descriptor(False)
+
+
+def end_by_reclaim_without_descriptors(director, client):
+    client.waiting_since -= 10 * SECOND
+    director.clients.reclaim_descriptor(True)
+
+
+def end_by_time_out(director, client):
+    client.check_timeouts(director.clock.now() + 10 * SECOND)
+
+
+def end_after_notice(director, client):
+    client.announce_close(CloseCause.CAPACITY, NOTICE_PERIOD_WHEN_FULL)
+    client.check_timeouts(director.clock.now() + 10 * SECOND)
+
+
+def end_at_shutdown(director, client):
+    director.begin_shutdown(5 * SECOND)
+    director.clients.close_unused()
+    client.check_timeouts(director.clock.now() + 10 * SECOND)
+
+
+WAYS_TO_END = (
+    end_by_reclaim_with_descriptors_left,
+    end_by_reclaim_without_descriptors,
+    end_by_time_out,
+    end_after_notice,
+    end_at_shutdown,
+)
+
+
+@pytest.mark.parametrize("is_partial", [False, True], ids=["whole", "in two pieces"])
+@pytest.mark.parametrize("reading", ["not yet", "recv fails"])
+@pytest.mark.parametrize("end", WAYS_TO_END)
+def test_no_connection_ends_over_an_unread_request(monkeypatch, end, reading, is_partial):
+    """Whatever ends a connection: a request that has arrived and could not be read yet is answered."""
+    fake_router = FakeRouter(RequestReceived=[lambda now: [interface.RejectRequest(TRACE, 0)]])
+    data = request_bytes(1)
+    cut = len(data) - 10 if is_partial else len(data)
+
+    async def scenario(director, _, wait_until):
+        listener, calls = listen(Address("127.0.0.1", 0)), director.manager.calls
+        peer = socket.create_connection(listener.getsockname())
+        client = ClientConnection(director)
+        director.manager.adopt(listener.accept()[0], client)
+        if is_partial:
+            peer.sendall(data[:10])
+            await wait_until(lambda: client.wire.buffered)
+            peer.sendall(data[10:cut])
+        else:
+            await anyio.wait_all_tasks_blocked()
+            peer.sendall(data)
+        if reading == "recv fails":
+            failing = {"receive": (0, Remedy.PAUSE), "peek": (False, Remedy.PAUSE)}
+            with monkeypatch.context() as patch:
+                for name, result in failing.items():
+                    patch.setattr(calls, name, lambda *args, result=result: result)
+                await anyio.sleep(0.02)
+                end(director, client)
+        else:
+            end(director, client)
+        assert client.phase is not Phase.HALF_CLOSED
+        assert not client.connection.is_closed
+        if is_partial:
+            peer.sendall(data[cut:])
+        await wait_until(lambda: fake_router.events_of(interface.RequestReceived))
+        director.manager.flush()
+        client.half_close()
+        director.manager.flush()
+        assert (await receive_all(peer)).endswith(b"".join(client_wire.answer(1, client_wire.DENIED, {})))
+        peer.close()
+
+    run_director(fake_router, scenario)
