Disk: a flush that fails for lack of a descriptor keeps its queue

What callers could see: a copy from before a purge, after a kill.

Cause: the queue was emptied before the write, and put back only if the disk takes no more (ENOSPC, EDQUOT, EROFS, EIO).

Evidence: test_a_flush_that_finds_no_descriptor_loses_no_purge_and_no_copy failed before: a copy older than the purge was accepted after the kill.

Change: what was not written is queued again before the error is raised; the tier's task starts again and writes it at the next event.

--- a/ironhinge/disk/writer.py
+++ b/ironhinge/disk/writer.py
@@ -108,7 +108,8 @@
         compaction has freed space. Copies written before are still served.
 
         Raises:
-            OSError: a write or sync failed for a reason other than a full or unwritable disk.
+            OSError: a write or sync failed for a reason other than a full or unwritable disk; what was not
+                written is still queued.
         """
         with self.lock:
             return self._flush()
@@ -165,11 +166,14 @@
                 batch, self.pending, self.pending_bytes = self.pending, [], 0
             if not batch:
                 return written
+            done = 0
             try:
                 for run in self._runs(batch):
                     written += self._write_run(run)
+                    done += len(run)
             except OSError as error:
                 if not is_unwritable(error):
+                    self._requeue(batch[done:])
                     raise
                 self._state.count(StoreCounter.FAILED_WRITES)
                 self._state.is_full = True
--- a/tests/test_disk_recovery.py
+++ b/tests/test_disk_recovery.py
@@ -1,5 +1,7 @@
 """Recovery of the disk store after a kill, forced step by step."""
 
+import pytest
+
 from ironhinge.disk.index import PartKey
 from ironhinge.disk.reader import Copy
 
@@ -92,3 +94,23 @@
     store.directory.release()  # the process is killed before the next checkpoint
     recovered = open_store(directory, clock)
     assert not recovered.put(key, 1, Copy(b"t1", old, body(*key, 1)))
+
+
+def test_a_flush_that_finds_no_descriptor_loses_no_purge_and_no_copy():
+    """Guards purges while descriptors are short: the queue was emptied before the new segment was created."""
+    clock, directory, key, other = Clock(), MemoryDirectory(FaultPlan(1)), PartKey(1, 0), PartKey(2, 0)
+    store = open_store(directory, clock)
+    old, purged_at = clock.now_ms, clock.now_ms + 10
+    clock.now_ms += 20
+    assert store.put(other, 1, Copy(b"t1", clock.now_ms, body(*other, 1)))
+    store.purge(key.object_id, 1, purged_at)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(directory, "create", lambda name: exec("raise OSError(24)"))  # EMFILE
+        with pytest.raises(OSError, match="24"):
+            store.flush()
+    store.flush()
+    store.sync()
+    store.directory.release()  # the process is killed
+    recovered = open_store(directory, clock)
+    assert not recovered.put(key, 1, Copy(b"t1", old, body(*key, 1)))
+    assert recovered.get(other) is not None
