--- a/ironhinge/disk/writer.py
+++ b/ironhinge/disk/writer.py
@@ -99,6 +99,7 @@
         remaining = [queued for queued in self.pending if queued.entry is None or queued.entry.key != key]
         was_queued = len(remaining) < len(self.pending)
         self.pending = remaining
+        self.pending_bytes = sum(queued.size for queued in remaining)
         return was_queued
 
     def flush(self) -> int:
--- a/tests/test_disk_recovery.py
+++ b/tests/test_disk_recovery.py
@@ -114,3 +114,12 @@
     recovered = open_store(directory, clock)
     assert not recovered.put(key, 1, Copy(b"t1", old, body(*key, 1)))
     assert recovered.get(other) is not None
+
+
+def test_a_copy_that_is_dropped_before_it_is_written_takes_no_queued_bytes():
+    """Guards compaction: it began too early, as cancelled copies counted until the next flush."""
+    clock, key = Clock(), PartKey(1, 0)
+    store = open_store(MemoryDirectory(FaultPlan(1)), clock)
+    assert store.put(key, 1, Copy(b"t1", clock.now_ms, body(*key, 1)))
+    assert store.drop(key)
+    assert store.pending_bytes == sum(record.size for record in store.writer.pending)
