--- a/tests/test_disk_recovery.py
+++ b/tests/test_disk_recovery.py
@@ -32,9 +32,8 @@
     assert recovered.get(key) is None
 
 
-def test_compaction_of_an_unreadable_segment_leaves_no_index_entry_of_it():
-    """Guards the byte counts: none of its records can be moved, and the segment is removed."""
-    clock, directory, key = Clock(), MemoryDirectory(FaultPlan(1)), PartKey(1, 0)
+def reopen_with_copy(directory, clock, key):
+    """Returns a store that was closed after storing a copy, and the segment of that copy."""
     store = open_store(directory, clock)
     clock.now_ms += 10
     assert store.put(key, 1, Copy(b"t1", clock.now_ms, body(*key, 1)))
@@ -42,6 +41,13 @@
     store = open_store(directory, clock)
     candidate = store.compaction_candidate()
     assert candidate is not None
+    return store, candidate
+
+
+def test_compaction_of_an_unreadable_segment_leaves_no_index_entry_of_it():
+    """Guards the byte counts: none of its records can be moved, and the segment is removed."""
+    clock, directory, key = Clock(), MemoryDirectory(FaultPlan(1)), PartKey(1, 0)
+    store, candidate = reopen_with_copy(directory, clock, key)
     directory.read = lambda name: exec("raise OSError(5)")  # EIO
     exhaust(store.compact(candidate, retain_all))
     assert store.live_bytes() == sum(entry.record_size for entry in store.index.entries())
@@ -55,13 +61,7 @@
     records before that offset would be skipped, and a purged copy accepted again.
     """
     clock, directory, key = Clock(), MemoryDirectory(FaultPlan(1)), PartKey(1, 0)
-    store = open_store(directory, clock)
-    clock.now_ms += 10
-    assert store.put(key, 1, Copy(b"t1", clock.now_ms, body(*key, 1)))
-    store.close()
-    store = open_store(directory, clock)
-    candidate = store.compaction_candidate()
-    assert candidate is not None
+    store, candidate = reopen_with_copy(directory, clock, key)
     exhaust(store.compact(candidate, lambda entry: False))
     store.directory.release()  # the process is killed before the next checkpoint
     store = open_store(directory, clock)
