--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,7 @@
 WINDOW_MS = 1500  # for which repeats are dropped
 FIXED_PATIENCE_MS = 1504  # of half of the clients; within 50 to 100% of the deadline, like all others here
 LATE_S = 0.55  # a final answer may come half a second after the request's time; 50 ms of slack on sockets
+MAX_OPEN = 32  # on a connection
 REQUESTS = 600
 RATE = 100  # requests a second
 RESET_EVERY = 2  # on the nodes that do not hang, under the first attempt of a request only
@@ -27,6 +28,16 @@
             "group": "7", "size": "60", "nonce": secrets.token_hex(8)}
 
 
+async def with_room(record: Record, port: int, clients: list[Client], number: int) -> Client:
+    """Returns a connection with room for a request; one carries up to 32 open ones."""
+    for offset in range(len(clients)):
+        client = clients[(number + offset) % len(clients)]
+        if len(client.waiting) < MAX_OPEN and not client.goaway and not client.closed.is_set():
+            return client
+    clients.append(await Client(record, f"c{len(clients)}").connect(port))
+    return clients[-1]
+
+
 def begin_trouble(site: Site, record: Record) -> None:
     """Two of four nodes hang; the others reset some connections under requests."""
     seen: set[str] = set()
@@ -64,7 +75,7 @@
         asked: list[tuple[int, asyncio.Future]] = []
         for number in range(REQUESTS):
             patience = FIXED_PATIENCE_MS if number % 2 else rng.randint(DEADLINE_MS // 2, DEADLINE_MS)
-            asked.append((patience, clients[number % 8].ask(request(patience, rng))))
+            asked.append((patience, (await with_room(record, director.port, clients, number)).ask(request(patience, rng))))
             await asyncio.sleep(1 / RATE)
         lost: list[int] = []
         for patience, future in asked:
