--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,19 +38,24 @@
     return clients[-1]
 
 
-def begin_trouble(site: Site, record: Record) -> None:
-    """Two of four nodes hang; the others reset some connections under requests."""
+def begin_trouble(site: Site, record: Record) -> set[str]:
+    """Two of four nodes hang; the others reset some connections under requests. Returns who meets both, as it comes."""
     seen: set[str] = set()
+    was_reset: set[str] = set()
+    reset_then_hung: set[str] = set()
 
     async def note(node, writer, name: str, fields: dict[str, str]) -> bool:
         seen.add(name)
+        if name in was_reset:
+            reset_then_hung.add(name)
         return False
 
     async def reset_some(node, writer, name: str, fields: dict[str, str]) -> bool:
         is_first = name not in seen
         seen.add(name)
-        if not is_first or len(seen) % RESET_EVERY:
+        if not is_first or int(name, 16) % RESET_EVERY:  # by the drawn id: no matter what the patience is
             return False
+        was_reset.add(name)
         record("node", node.name, "resets the connection under", name)
         reset(writer)
         return True
@@ -59,6 +64,7 @@
         node.hanging, node.on_want = True, note
     for node in site.caches[2:]:
         node.on_want = reset_some
+    return reset_then_hung
 
 
 async def main(record: Record, folder: Path) -> bool:
@@ -70,12 +76,14 @@
         clients = [await Client(record, f"c{i}").connect(director.port) for i in range(8)]
         for number in range(40):  # a quiet start
             await clients[number % 8].ask(request(FIXED_PATIENCE_MS, rng))
-        if TROUBLE:
-            begin_trouble(site, record)
+        both = begin_trouble(site, record) if TROUBLE else set()
         asked: list[tuple[int, asyncio.Future]] = []
         for number in range(REQUESTS):
             patience = FIXED_PATIENCE_MS if number % 2 else rng.randint(DEADLINE_MS // 2, DEADLINE_MS)
-            asked.append((patience, (await with_room(record, director.port, clients, number)).ask(request(patience, rng))))
+            fields = request(patience, rng)
+            future = (await with_room(record, director.port, clients, number)).ask(fields)
+            future.trace = fields["trace"]
+            asked.append((patience, future))
             await asyncio.sleep(1 / RATE)
         lost: list[int] = []
         for patience, future in asked:
@@ -87,6 +95,10 @@
         record(f"of {len(asked)} requests, without an answer {LATE_S} s after their time: {len(lost)}; patience: {lost}")
         await asyncio.sleep(10)
         never = sum(not future.done() for _, future in asked)
+        for is_fixed in (True, False):
+            met = [f for p, f in asked if f.trace in both and (p == FIXED_PATIENCE_MS) is is_fixed]
+            record(f"first reset, then at a hanging node, patience {'' if is_fixed else 'not '}{FIXED_PATIENCE_MS}:",
+                   len(met), "without an answer:", sum(not f.done() for f in met))
         twice = sum(client.answered_twice for client in clients)
         record("still without an answer 10 s later:", never, "- answered twice:", twice)
         print(f"requests {len(asked)}, lost {len(lost)}, still unanswered 10 s later {never}")
