Timers: an operation that has ended is no longer kept until its deadline

Cause: the heap of the timers referred to each operation until it was due or at the top, and so to the request's body and to the command rendered from it.

Evidence: after 60 answered requests of 200,000 bytes, 60 OpenRequest objects were alive, referred to by nothing but their attempts, and these by nothing but the heap.

Change: a timer is a call that can be cancelled; the end of an operation cancels its timers, which then refer to nothing. Cancelled timers are removed once they are half of the heap. The timers know no operations any more.

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from ..config import DirectorConfig, load_report_in_order
@@ -125,7 +126,7 @@
         self._start(attempt, command.deadline, lambda: self._render_command(attempt, fields))
         if command.start_deadline:
             attempt.start_deadline = command.start_deadline
-            self.timers.schedule(command.start_deadline, attempt)
+            self._schedule(command.start_deadline, attempt)
 
     def _oldest_allowed_copy(self, command: SendAttempt | SendAttemptWithFill) -> int:
         """Returns the Unix time in milliseconds of the oldest usable copy; 0 if there is no limit.
@@ -153,7 +154,17 @@
         operation.connection = connection
         connection.operations[operation.operation_id] = operation
         operation.frame = connection.connection.write((), render=render)
-        self.timers.schedule(deadline, operation)
+        self._schedule(deadline, operation)
+
+    def _schedule(self, due: int, operation: UpstreamOperation) -> None:
+        """Sets a timer for a deadline of an operation; the end of the operation cancels it."""
+        operation.timers.append(self.timers.schedule(due, partial(self._on_operation_due, operation, due)))
+
+    def end_by(self, deadline: int) -> None:
+        """Makes all attempts in flight time out at `deadline`, if they do not end before."""
+        for request in list(self._owner.requests.values()):
+            if request.attempt is not None:
+                self._schedule(deadline, request.attempt)
 
     def _render_command(self, attempt: Attempt, fields: dict[str, str]) -> tuple[bytes, ...]:
         """Encodes an attempt's command just before it is written; returns nothing if the attempt has ended.
@@ -184,6 +195,10 @@
         if operation.is_finished:
             return
         operation.is_finished = True
+        for timer in operation.timers:
+            # a timer that is due later must not keep the request's body and command in memory until then
+            self.timers.cancel(timer)
+        operation.timers.clear()
         if operation.frame is not None:
             # breaks the reference cycle with the operation without waiting for the garbage collector
             operation.frame.render = None
@@ -208,7 +223,7 @@
         connection = operation.connection
         if connection is None:
             return
-        # the timers refer to the operation until they are due, and must not keep its connection in memory
+        # breaks the reference cycle with the connection
         operation.connection = None
         connection.operations.pop(operation.operation_id, None)
         connection.idle_since = now
@@ -310,9 +325,10 @@
             if attempt is not None and is_affected(attempt) and attempt.withdraw():
                 self.finish_operation(attempt, AttemptEnd.NOT_SENT)
 
-    def on_operation_due(self, operation: UpstreamOperation, due: int, now: int) -> None:
-        """Handles a due deadline of an operation; the operation may have ended already."""
-        if not operation.is_finished and operation.connection is not None:
+    def _on_operation_due(self, operation: UpstreamOperation, due: int) -> None:
+        """Handles a due deadline of an operation."""
+        now = self._clock.now()
+        if operation.connection is not None:
             operation.connection.connection.read_now()  # an answer may have arrived in time and not been read
         if operation.is_finished:
             return
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -82,7 +83,7 @@
         self.diagnostics = Diagnostics(self.clock)
         self.monitor = LoopMonitor(self.clock)
         self.clients = ClientRegistry(manager, self.clock)
-        self.timers = Timers(self.clock, self)
+        self.timers = Timers(self.clock)
         self.attempts = Attempts(config, self.clock, self.monitor, self.diagnostics, self)
         self.pool = UpstreamPool(manager, config.transport, self.clock, self)
         self.discovery = Discovery(config, manager, self.pool, self.clock, self)
@@ -249,14 +250,6 @@
         """Withdraws the affected attempts of which nothing has been written."""
         self.attempts.withdraw_unsent(is_affected)
 
-    def on_timer(self, token: str) -> None:
-        """Reports to the router that one of its timers is due."""
-        self.report(TimerFired(token))
-
-    def on_operation_due(self, operation: UpstreamOperation, due: int, now: int) -> None:
-        """Handles a deadline of an operation that is due."""
-        self.attempts.on_operation_due(operation, due, now)
-
     def on_datagram(self, sender: int, data: bytes) -> None:
         """Passes a datagram from the peer with that index to the traffic account or the router."""
         account = self.traffic_account
@@ -331,11 +324,14 @@
         self.send_final_answer(command.request_id, client_wire.ABORTED, {})
 
     def _set_timer(self, command: SetTimer) -> None:
-        self.timers.schedule(self.clock.now() + command.delay, command.token)
+        self.timers.schedule(self.clock.now() + command.delay, partial(self._on_timer, command.token))
 
     def _ignore_watch_command(self, command: SetWatch | RequestFullList) -> None:
         """Does nothing: the director always watches the endpoint list and receives every change."""
 
+    def _on_timer(self, token: str) -> None:
+        self.report(TimerFired(token))
+
     def _write_log(self, command: WriteLog) -> None:
         logger.info("decision_note text={!r}", command.text)
 
@@ -384,9 +380,7 @@
         """
         self.shutdown_deadline = self.clock.now() + time_remaining
         self.report(ShutdownStarted(time_remaining))
-        for request in list(self.requests.values()):
-            if request.attempt is not None:
-                self.timers.schedule(self.shutdown_deadline, request.attempt)
+        self.attempts.end_by(self.shutdown_deadline)
         self.clients.announce_shutdown()
         self.manager.flush()
 
--- a/ironhinge/net/timers.py
+++ b/ironhinge/net/timers.py
@@ -1,63 +1,82 @@
-"""The timers of a director: the deadlines of operations, and the timers that the router sets."""
+"""The timers of a director: calls that are due at an instant, and can be cancelled."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from heapq import heappop, heappush
-from typing import Protocol
+from heapq import heapify, heappop, heappush
 
 import anyio
 from anyio import lowlevel
 
 from .clock import SECOND, Clock
-from .upstream import UpstreamOperation
 
+MIN_CANCELLED_TO_COMPACT = 64  # fewer cancelled timers are left in the heap until they are at the top
 
-class TimerHandler(Protocol):
-    """Handles timers that are due."""
 
-    def on_timer(self, token: str) -> None:
-        """Handles a due timer of the router."""
+class Timer:
+    """A scheduled call. Once it has been made or cancelled, the timer refers to nothing."""
 
-    def on_operation_due(self, operation: UpstreamOperation, due: int, now: int) -> None:
-        """Handles a due deadline of an operation; the operation may have ended already."""
+    __slots__ = ("callback",)
+
+    def __init__(self, callback: Callable[[], None]):
+        self.callback: Callable[[], None] | None = callback
 
 
 class Timers:
     """A heap of timers.
 
-    The timer of an operation that has ended is removed as soon as it is at the top, before it is due.
+    A cancelled timer stays in the heap until it is at the top, or until half of the heap is cancelled.
     """
 
-    def __init__(self, clock: Clock, handler: TimerHandler):
+    def __init__(self, clock: Clock):
         self._clock = clock
-        self._handler = handler
-        self._heap: list[tuple[int, int, str | UpstreamOperation]] = []
+        self._heap: list[tuple[int, int, Timer]] = []
         self._timer_count = 0  # orders timers that are due at the same time
+        self._cancelled_count = 0  # timers in the heap that are cancelled
         self._earliest_changed = anyio.Event()  # set when a new timer is due before all others
 
-    def schedule(self, due: int, target: str | UpstreamOperation) -> None:
-        """Sets a timer for a token of the router, or for a deadline of an operation."""
+    def __len__(self) -> int:
+        """Returns the number of timers in the heap, cancelled ones included."""
+        return len(self._heap)
+
+    def schedule(self, due: int, callback: Callable[[], None]) -> Timer:
+        """Schedules a call at an instant on the monotonic clock, in tenths of a millisecond."""
+        timer = Timer(callback)
         self._timer_count += 1
-        heappush(self._heap, (due, self._timer_count, target))
-        if self._heap[0][2] is target:
+        heappush(self._heap, (due, self._timer_count, timer))
+        if self._heap[0][2] is timer:
             self._earliest_changed.set()
+        return timer
+
+    def cancel(self, timer: Timer) -> None:
+        """Cancels a timer, unless its call has been made or it is cancelled already."""
+        if timer.callback is None:
+            return
+        timer.callback = None
+        self._cancelled_count += 1
+        if self._cancelled_count >= max(MIN_CANCELLED_TO_COMPACT, len(self._heap) // 2):
+            self._compact()
+
+    def _compact(self) -> None:
+        """Removes all cancelled timers, so that their number is bounded by that of the others."""
+        self._heap = [entry for entry in self._heap if entry[2].callback is not None]
+        heapify(self._heap)
+        self._cancelled_count = 0
 
     def fire_due(self) -> None:
-        """Fires the due timers, and removes timers of operations that have ended from the top of the heap."""
+        """Makes the calls that are due, and removes cancelled timers from the top of the heap."""
         now = self._clock.now()
         while self._heap:
-            due, _, target = self._heap[0]
-            if isinstance(target, str):
-                if due > now:
-                    return
-                heappop(self._heap)
-                self._handler.on_timer(target)
+            due, _, timer = self._heap[0]
+            callback = timer.callback
+            if callback is not None and due > now:
+                return
+            heappop(self._heap)
+            if callback is None:
+                self._cancelled_count -= 1
             else:
-                if due > now and not target.is_finished:
-                    return
-                heappop(self._heap)
-                self._handler.on_operation_due(target, due, now)
+                timer.callback = None
+                callback()
 
     async def run(self, flush: Callable[[], None]) -> None:
         """Fires timers until cancelled; `flush` writes the output that they cause."""
--- a/ironhinge/net/upstream.py
+++ b/ironhinge/net/upstream.py
@@ -15,6 +15,7 @@
 from .attempt_end import AttemptEnd
 from .clock import SECOND
 from .connection import Connection, Frame
+from .timers import Timer
 
 HEALTH_CHECK_ENDS = (AttemptEnd.HEALTHY, AttemptEnd.UNHEALTHY)
 CONNECT_FAILURES = (AttemptEnd.CONNECTION_REFUSED, AttemptEnd.CONNECT_TIMEOUT)
@@ -47,6 +48,7 @@
         "operation_id",
         "start_deadline",
         "started_at",
+        "timers",
         "upstream",
     )
 
@@ -61,6 +63,7 @@
         self.answer_is_copy = False  # the body of its answer is a copy, so a tag and a date are required
         self.connection: UpstreamConnection | None = None
         self.frame: Frame | None = None
+        self.timers: list[Timer] = []  # cancelled when it ends
         self.is_finished = False
 
     def withdraw(self) -> bool:
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 import weakref
 
 import anyio
@@ -15,12 +16,13 @@
 from ironhinge.net import client_wire
 from ironhinge.net.attempt_end import RESULTS, AttemptEnd
 from ironhinge.net.client_connection import ClientConnection, Phase, Usage
-from ironhinge.net.clock import Clock
+from ironhinge.net.clock import SECOND, Clock
 from ironhinge.net.connection import Connection
 from ironhinge.net.connection_manager import ConnectionManager
 from ironhinge.net.director import Director
 from ironhinge.net.socket_calls import open_datagram_socket
 from ironhinge.net.timed_selector import TimedSelector
+from ironhinge.net.timers import Timers
 from ironhinge.routing import Router
 
 from .helpers import TIMEOUT_SECONDS, FakeUpstream, configuration, endpoint_config, resp_array
@@ -592,6 +594,45 @@
     assert len(references) == 2
 
 
+def test_answered_requests_do_not_keep_their_bodies_in_memory_until_their_deadlines():
+    """Guards the memory limit: one client's large, answered requests took a director over it."""
+    count, body_size = 60, 200_000
+    traces = [f"{i:016x}" for i in range(count)]
+    fake_router = FakeRouter(
+        RequestReceived=[send_attempt(request_id=trace) for trace in traces],
+        AttemptFinished=[lambda now, trace=trace: [interface.FailRequest(trace)] for trace in traces],
+    )
+
+    async def scenario(director, client, wait_until):
+        tracemalloc.start()
+        for i, trace in enumerate(traces):
+            director.admit(client, request_frame(i + 1, trace=trace)._replace(body=bytes(body_size)))
+            director.manager.flush()
+            await wait_until(lambda: not director.requests)
+        held_bytes = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        assert len(client.connection.frames) == count
+        assert held_bytes < 10 * body_size
+
+    run_director(fake_router, scenario)
+
+
+def test_timers_of_ended_attempts_do_not_accumulate():
+    """Guards memory: attempts that ended early left a timer each for as long as the longest deadline."""
+    count = 1000
+    timers, calls = Timers(Clock()), []
+    later = Clock().now() + 90 * SECOND
+    open_timers = [timers.schedule(later, lambda: calls.append("later")) for _ in range(10)]
+    for _ in range(count):
+        timers.cancel(timers.schedule(later, lambda: calls.append("cancelled")))
+    assert len(timers) < count / 4
+    timers.cancel(open_timers[0])
+    timers.cancel(open_timers[0])
+    timers.schedule(0, lambda: calls.append("due"))
+    timers.fire_due()
+    assert calls == ["due"]
+
+
 def test_answer_older_than_the_maximum_copy_age_is_not_passed_on():
     """Guards purges against a cache that has forgotten them."""
     fake_router = FakeRouter(RequestReceived=[send_attempt_with_fill("s-00000002")])
