Attempts: the deadline of an attempt is no longer mistaken for its start deadline

Cause: on_operation_due told the two timers of an attempt apart by their time. In one tick, both were taken for the start deadline, which only withdraws what is unsent: the attempt never timed out. The deadline of a shutdown alike.

Evidence: the same attempt at a silent server times out where the two deadlines differ by one tick, either way, and never ends where they are equal.

Change: each timer has its own callback. An open operation always has its deadline ahead of it, since only its end cancels that timer.

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -126,7 +126,7 @@
         self._start(attempt, command.deadline, lambda: self._render_command(attempt, fields))
         if command.start_deadline:
             attempt.start_deadline = command.start_deadline
-            self._schedule(command.start_deadline, attempt)
+            self._schedule(attempt, command.start_deadline, partial(self._on_start_deadline, attempt))
 
     def _oldest_allowed_copy(self, command: SendAttempt | SendAttemptWithFill) -> int:
         """Returns the Unix time in milliseconds of the oldest usable copy; 0 if there is no limit.
@@ -154,17 +154,18 @@
         operation.connection = connection
         connection.operations[operation.operation_id] = operation
         operation.frame = connection.connection.write((), render=render)
-        self._schedule(deadline, operation)
+        self._schedule(operation, deadline, partial(self._on_deadline, operation, deadline))
 
-    def _schedule(self, due: int, operation: UpstreamOperation) -> None:
-        """Sets a timer for a deadline of an operation; the end of the operation cancels it."""
-        operation.timers.append(self.timers.schedule(due, partial(self._on_operation_due, operation, due)))
+    def _schedule(self, operation: UpstreamOperation, due: int, callback: Callable[[], None]) -> None:
+        """Sets a timer of an operation, which the end of the operation cancels."""
+        operation.timers.append(self.timers.schedule(due, callback))
 
     def end_by(self, deadline: int) -> None:
         """Makes all attempts in flight time out at `deadline`, if they do not end before."""
         for request in list(self._owner.requests.values()):
-            if request.attempt is not None:
-                self._schedule(deadline, request.attempt)
+            attempt = request.attempt
+            if attempt is not None:
+                self._schedule(attempt, deadline, partial(self._on_deadline, attempt, deadline))
 
     def _render_command(self, attempt: Attempt, fields: dict[str, str]) -> tuple[bytes, ...]:
         """Encodes an attempt's command just before it is written; returns nothing if the attempt has ended.
@@ -325,17 +326,19 @@
             if attempt is not None and is_affected(attempt) and attempt.withdraw():
                 self.finish_operation(attempt, AttemptEnd.NOT_SENT)
 
-    def _on_operation_due(self, operation: UpstreamOperation, due: int) -> None:
-        """Handles a due deadline of an operation."""
-        now = self._clock.now()
+    def _on_start_deadline(self, attempt: Attempt) -> None:
+        """Withdraws an attempt of which nothing has been sent yet.
+
+        Upstreams remember an idempotency key for a limited time: an attempt sent later could run twice.
+        """
+        if attempt.withdraw():
+            self.finish_operation(attempt, AttemptEnd.NOT_SENT)
+
+    def _on_deadline(self, operation: UpstreamOperation, due: int) -> None:
+        """Ends an operation that has not been answered by its deadline."""
         if operation.connection is not None:
             operation.connection.connection.read_now()  # an answer may have arrived in time and not been read
         if operation.is_finished:
             return
-        if due == operation.start_deadline:
-            # upstreams remember an idempotency key for a limited time: an attempt sent later could run twice
-            if operation.withdraw():
-                self.finish_operation(operation, AttemptEnd.NOT_SENT)
-        else:
-            self._monitor.on_late_timer(now - due)
-            self.abandon(operation, AttemptEnd.TIMED_OUT)
+        self._monitor.on_late_timer(self._clock.now() - due)
+        self.abandon(operation, AttemptEnd.TIMED_OUT)
--- a/tests/test_network_races.py
+++ b/tests/test_network_races.py
@@ -550,6 +550,49 @@
     assert end.duration < 10000
 
 
+@pytest.mark.parametrize("ticks_between", [-1, 0, 1])
+def test_attempt_times_out_though_its_deadline_is_the_end_of_its_dedup_window(ticks_between):
+    """A request must get an answer: one whose two deadlines were the same tick stayed open for ever."""
+    send = lambda now: [interface.SendAttempt(TRACE, "s-00000001", now + 1000, now + 1000 + ticks_between)]  # noqa: E731
+    fake_router = FakeRouter(
+        RequestReceived=[send], AttemptFinished=[lambda now: [interface.FailRequest(TRACE)]]
+    )
+    silent = FakeUpstream(lambda command: None)
+
+    async def scenario(director, client, wait_until):
+        director.admit(client, request_frame(1))
+        director.manager.flush()
+        await wait_until(lambda: client.connection.frames)
+
+    run_director(fake_router, scenario, (silent, silent))
+    (end,) = fake_router.events_of(interface.AttemptFinished)
+    assert (end.result, end.duration < 1500) == ("timeout", True)
+
+
+def test_attempt_times_out_though_the_shutdown_deadline_is_the_end_of_its_dedup_window():
+    """A request must get an answer: a shutdown's deadline could be mistaken for the end of the window."""
+    fake_router = FakeRouter(AttemptFinished=[lambda now: [interface.FailRequest(TRACE)]])
+    silent = FakeUpstream(lambda command: None)
+
+    async def scenario(director, client, wait_until):
+        shutdown_deadline = director.clock.now() + 5000
+        fake_router.commands_by_event["RequestReceived"] = [
+            lambda now: [interface.SendAttempt(TRACE, "s-00000001", now + 90000, shutdown_deadline)]
+        ]
+        director.admit(client, request_frame(1))
+        director.manager.flush()
+        await wait_until(lambda: silent.request_ids)
+        now = director.clock.now()
+        director.clock.now = lambda: now  # so that both deadlines are the same tick
+        director.begin_shutdown(shutdown_deadline - now)
+        del director.clock.now
+        await wait_until(lambda: client.connection.frames)
+
+    run_director(fake_router, scenario, (silent, silent))
+    (end,) = fake_router.events_of(interface.AttemptFinished)
+    assert (end.result, end.duration < 5500) == ("timeout", True)
+
+
 def test_start_deadline_of_a_repeat_is_the_end_of_the_dedup_window_of_the_first_attempt():
     router = new_router(new_deployment(cancellation_allowed=False))
     first = router.handle(1000, request_received("a", class_index=2))[0]
