Discovery: a purge counts from when it is received, not from its time stamp

Cause: Clock.age_of_event took our Unix time less the stamp for the age, up to 10 s and the time since discovery was complete. After a step back that is too much by the step, and PurgeLog drops a purge older than its retention.

Evidence: a purge applied directly is missing from the next command, or dated too early, for each step back of 1 s to an hour, with discovery complete 0.5 s or 30 s before; it is right for no step and for steps forward. A late event and a stepped stamp look alike, so the side that breaks no rule is taken.

Change: PurgeNotified has the age 0 on sockets. A purge that a reload told is not counted anew when discovery delivers it. Stamps only correct Unix time.

--- a/ironhinge/net/clock.py
+++ b/ironhinge/net/clock.py
@@ -6,7 +6,8 @@
 received can't lie in the future, and one that was just sent can't be an hour old.
 
 Errors that remain: the error of the wall clock at start-up (up to `MAX_EVENT_DELAY` if no live event shows
-it), slews faster than `MAX_SLEW_RATE`, and time during which the machine was suspended.
+it), later steps of the clock that stamps events (up to the same bound), slews faster than `MAX_SLEW_RATE`,
+and time during which the machine was suspended. So no instant is derived from a foreign time stamp.
 """
 
 from __future__ import annotations
@@ -80,11 +81,14 @@
             self._logged_step = difference
             logger.warning("wall_clock_stepped offset_s={} followed=no", difference / SECOND)
 
-    def age_of_event(self, unix_ms: int, caught_up_at: int) -> int:
-        """Returns the age in ticks of an event that was just received.
+    def observe_event(self, unix_ms: int, caught_up_at: int) -> None:
+        """Corrects Unix time by the time stamp of an event that was just received.
 
         A time stamp in the future, or one so old that the event would have been received earlier, shows that
-        this clock's Unix time is wrong; it is corrected.
+        this clock's Unix time is wrong.
+
+        A time stamp does not show when an event happened: the clock that it was taken from may have been
+        stepped since, and an event that was delivered late looks the same.
 
         Args:
             unix_ms: The event's Unix time stamp in milliseconds.
@@ -95,8 +99,6 @@
         if age > since_caught_up + MAX_EVENT_DELAY:
             self._log_correction("event_too_old", since_caught_up - age)
             self._offset -= age - since_caught_up
-            return since_caught_up
-        return age
 
     def start_instant(self, unix_ms: int, caught_up_at: int) -> int:
         """Returns the monotonic instant, rounded up, of a process start that was just reported.
--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -81,6 +81,7 @@
         self._clock = clock
         self._listener = listener
         self._reloaded_list_index = 0  # of the last event that the endpoint list of a reload includes
+        self._reloaded_purges: set[int] = set()  # indices of purges of a reload that have not arrived yet
         self._caught_up_at = clock.now()  # all events up to this instant have been received
 
     def set_caught_up(self, now: int) -> None:
@@ -102,7 +103,10 @@
             return
         self.last_index = update.event_index
         if isinstance(update, PurgeUpdate):
-            self._apply_purge(update)
+            if update.event_index in self._reloaded_purges:
+                self._reloaded_purges.discard(update.event_index)
+            else:
+                self._apply_purge(update)
         elif update.event_index > self._reloaded_list_index:
             self._apply_list(update)
 
@@ -118,10 +122,11 @@
         if config.known_index <= max(self.last_index, self._reloaded_list_index) or not has_full_list:
             return
         for update in config.known:
-            if isinstance(update, PurgeUpdate):
-                self._apply_purge(update)
-            else:
+            if isinstance(update, EndpointListUpdate):
                 self._apply_list(update)
+            elif update.event_index > self.last_index and update.event_index not in self._reloaded_purges:
+                self._reloaded_purges.add(update.event_index)
+                self._apply_purge(update)
         self._reloaded_list_index = config.known_index
         logger.info("config_events_applied index={}", config.known_index)
 
@@ -136,8 +141,10 @@
         object_id, group = update.object_id, update.group
         if self.local_store is not None:
             self.local_store.on_purge(object_id, group, update.unix_ms)
-        age = self._clock.age_of_event(update.unix_ms, self._caught_up_at)
-        self._listener.report(PurgeNotified(object_id, group, age))
+        self._clock.observe_event(update.unix_ms, self._caught_up_at)
+        # It counts as new: its time stamp does not tell a late event from a step of the clock that stamped it,
+        # and a purge that is dated too early would be forgotten too early.
+        self._listener.report(PurgeNotified(object_id, group, age=0))
         if object_id is None:
             self._listener.withdraw_unsent(lambda attempt: attempt.request.received.group == group)
         else:
--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,60 @@
+"""The clock that stamps purges, starts and copies is stepped while a director runs: its events count as new."""
+
+import time
+
+import pytest
+
+from ironhinge import interface
+from ironhinge.config import EndpointListUpdate, PurgeUpdate
+from ironhinge.net.clock import SECOND
+from ironhinge.routing import Router
+
+from .helpers import FakeUpstream
+from .test_director import FakeRouter, request_frame, run_director
+
+STEPS_S = [0, -1, -5, -7, -9, -10.5, -3600, 7, 3600]  # of the clock that stamps events
+OBJECT_ID = 0x7F3A9C21E0B4D655  # the object of `request_frame`
+PURGE_RETENTION_S = 6  # in the settings of the tests
+
+
+def stamp_ms(step_s):
+    """Returns the present time in milliseconds, by a clock that was stepped."""
+    return int((time.time() + step_s) * 1000)
+
+
+@pytest.mark.parametrize("since_caught_up_s", [0.5, 30])
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_purge_is_not_forgotten_after_a_step_of_the_clock_that_stamps_it(step_s, since_caught_up_s):
+    """A copy from before a purge was served: the stepped stamp made the purge look older than its retention."""
+    upstream = FakeUpstream(has_all_objects=True)
+
+    async def scenario(director, client, wait_until):
+        director.discovery.set_caught_up(director.clock.now() - int(since_caught_up_s * SECOND))
+        purged_at = time.monotonic()
+        director.discovery.apply(PurgeUpdate(2, OBJECT_ID, 0, stamp_ms(step_s)))
+        director.admit(client, request_frame(1))
+        director.manager.flush()
+        await wait_until(lambda: not upstream.commands.empty())
+        _, _, fields, _ = upstream.next_command()
+        assert 0 < int(fields["accept"]) <= (time.monotonic() - purged_at) * 1000 + 1
+
+    run_director(Router, scenario, (upstream, upstream))
+
+
+def test_purge_that_a_reload_told_is_not_dated_anew_when_it_arrives():
+    """Guards valid copies: an event of a reload arrives once more from discovery, and is no second purge."""
+    fake_router = FakeRouter()
+    purge = PurgeUpdate(3, OBJECT_ID, 0, stamp_ms(0))
+
+    async def scenario(director, client, wait_until):
+        discovery = director.discovery
+        (full_list,) = director.config.known
+        older_purge = purge._replace(event_index=1)
+        reloaded = director.config._replace(known=(full_list, older_purge, purge), known_index=3)
+        discovery.apply_config(reloaded)
+        discovery.apply(EndpointListUpdate(2, False, ()))
+        discovery.apply(purge)
+        discovery.apply(purge._replace(event_index=4))
+
+    run_director(fake_router, scenario)
+    assert len(fake_router.events_of(interface.PurgeNotified)) == 2
