--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -142,8 +142,8 @@
         if self.local_store is not None:
             self.local_store.on_purge(object_id, group, update.unix_ms)
         self._clock.observe_event(update.unix_ms, self._caught_up_at)
-        # It counts as new: its time stamp does not tell a late event from a step of the clock that stamped it,
-        # and a purge that is dated too early would be forgotten too early.
+        # It counts as new: its time stamp does not tell a late event from a step of the clock that it was
+        # taken from, and a purge that is dated too early would be forgotten too early.
         self._listener.report(PurgeNotified(object_id, group, age=0))
         if object_id is None:
             self._listener.withdraw_unsent(lambda attempt: attempt.request.received.group == group)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,4 +1,4 @@
-"""The clock that stamps purges, starts and copies is stepped while a director runs: its events count as new."""
+"""The clock that stamps purges, starts and copies is stepped while a director runs."""
 
 import time
 
@@ -25,7 +25,7 @@
 @pytest.mark.parametrize("since_caught_up_s", [0.5, 30])
 @pytest.mark.parametrize("step_s", STEPS_S)
 def test_purge_is_not_forgotten_after_a_step_of_the_clock_that_stamps_it(step_s, since_caught_up_s):
-    """A copy from before a purge was served: the stepped stamp made the purge look older than its retention."""
+    """A copy from before a purge was served: its stamp made the purge look older than its retention."""
     upstream = FakeUpstream(has_all_objects=True)
 
     async def scenario(director, client, wait_until):
