Answers: a copy made after a purge is not rejected after a step of its clock

Cause: an answer is rejected if its copy is older than the purge, by our Unix time, which is ahead of the stamps of copies by the step.

Evidence: a new copy is rejected for steps back of 1, 5, 7 and 9 s; not for none, steps forward, or those over 10 s, which correct our Unix time.

Change: the limit is the earlier of our clock's and of the latest purge's stamp, which comes from the clock that stamps the copies. Too old is what is so by both.

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -131,12 +131,13 @@
     def _oldest_allowed_copy(self, command: SendAttempt | SendAttemptWithFill) -> int:
         """Returns the Unix time in milliseconds of the oldest usable copy; 0 if there is no limit.
 
-        It is earlier by `ALLOWED_LATENESS` than the command's limit.
+        It is earlier by `ALLOWED_LATENESS` than the command's limit, and by the step if the clock that stamps
+        copies was stepped back before the purge that limits their age.
         """
         max_age_ms = max_copy_age_ms(command)
         if not max_age_ms:
             return 0
-        return self._clock.unix_ms() - max_age_ms - ALLOWED_LATENESS // MILLISECOND
+        return self._clock.earliest_unix_ms() - max_age_ms - ALLOWED_LATENESS // MILLISECOND
 
     def send_health_check(self, command: SendHealthCheck) -> None:
         """Executes a command to send a health check to an upstream."""
--- a/ironhinge/net/clock.py
+++ b/ironhinge/net/clock.py
@@ -37,6 +37,7 @@
         self._monotonic_ns = monotonic_ns
         self._wall_ns = wall_ns
         self._offset = self._wall_offset()  # Unix time minus monotonic time
+        self._stamp_offset: int | None = None  # the latest event's time stamp minus the time of its receipt
         self._logged_step = 0  # difference from the wall clock when a step was last logged
         self._checked_at = self.now()
 
@@ -60,6 +61,16 @@
         """Returns the Unix time in whole milliseconds."""
         return self.unix() // MILLISECOND
 
+    def earliest_unix_ms(self) -> int:
+        """Returns the Unix time in milliseconds: by this clock, or by the latest event if that is earlier.
+
+        After a step back of the clock that stamps events and copies, this clock is ahead of it. Only what is
+        too old by both is certainly too old.
+        """
+        if self._stamp_offset is None:
+            return self.unix_ms()
+        return min(self.unix(), self.now() + self._stamp_offset) // MILLISECOND
+
     def unix_age(self, unix_ms: int) -> int:
         """Returns the ticks since a Unix time in milliseconds; negative if that is in the future."""
         return self.unix() - unix_ms * MILLISECOND
@@ -94,6 +105,7 @@
             unix_ms: The event's Unix time stamp in milliseconds.
             caught_up_at: All earlier events had been received by this instant (monotonic ticks).
         """
+        self._stamp_offset = unix_ms * MILLISECOND - self.now()
         age = self._age_not_in_future(unix_ms)
         since_caught_up = max(0, self.now() - caught_up_at)
         if age > since_caught_up + MAX_EVENT_DELAY:
