Discovery: a start counts from when it is reported, not from its time stamp

Servers saw: after the platform's clock was stepped back by 5 to 9 s, a cold cache got the requests of a warmer one (a probe: 54, 64, 74 of 600 for steps of 5, 7, 9 s; 29 and 30 without a step and for 7 s forward).

Cause: Clock.start_instant took our Unix time less the stamp for the time since the start. And a start was new only if its stamp was later than the last one, so that a restart after a step back by an hour was not noticed.

Evidence: the start that the router is told is too early by the step, for steps back of 1 s to an hour, with discovery complete 0.5 s or 30 s before.

Change: a start counts from its report; any stamp that was not seen before is a start. A late report makes a cache count as cold for longer, never as warmer.

--- a/ironhinge/net/clock.py
+++ b/ironhinge/net/clock.py
@@ -112,20 +112,12 @@
             self._log_correction("event_too_old", since_caught_up - age)
             self._offset -= age - since_caught_up
 
-    def start_instant(self, unix_ms: int, caught_up_at: int) -> int:
-        """Returns the monotonic instant, rounded up, of a process start that was just reported.
+    def observe_start(self, unix_ms: int) -> None:
+        """Corrects Unix time if the time stamp of a process start lies in the future.
 
-        If the time stamp is implausibly old, this is `caught_up_at`, the earliest instant of a start that had
-        not been reported before. A time stamp in the future corrects this clock's Unix time.
-
-        Args:
-            unix_ms: The reported start, as a Unix time in milliseconds.
-            caught_up_at: All earlier starts had been reported by this instant (monotonic ticks).
+        Starts may be reported long after they happened, so an old time stamp shows nothing.
         """
-        age = self._age_not_in_future(unix_ms)
-        since_caught_up = max(0, self.now() - caught_up_at)
-        is_implausible = age > since_caught_up + MAX_EVENT_DELAY
-        return self.now() - (since_caught_up if is_implausible else age) + 1
+        self._age_not_in_future(unix_ms)
 
     def _age_not_in_future(self, unix_ms: int) -> int:
         age = self.unix_age(unix_ms)
--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -165,20 +165,24 @@
         upstream = self._pool.upstreams.get(endpoint.id)
         if upstream is None:
             upstream = self._pool.add(endpoint.id, address)
-        elif upstream.address != address or started_unix_ms > upstream.started_unix_ms:
+        elif upstream.address != address or upstream.is_restarted(started_unix_ms):
             upstream.retire()  # a new process replaced the one that these connections lead to
         if endpoint.state is not upstream.state:
             logger.info("upstream_state_changed upstream={} state={}", endpoint.id, endpoint.state)
         upstream.address = address
         upstream.state = endpoint.state
-        self._set_started_at(upstream, started_unix_ms)
+        self._record_start(upstream, started_unix_ms)
         return endpoint._replace(started_at=upstream.started_at if started_unix_ms else 0)
 
-    def _set_started_at(self, upstream: Upstream, started_unix_ms: int) -> None:
-        """Converts a start time to an instant, once: a repeated one must not look like another restart."""
-        if started_unix_ms > upstream.started_unix_ms:
-            upstream.started_unix_ms = started_unix_ms
-            upstream.started_at = self._clock.start_instant(started_unix_ms, self._caught_up_at)
+    def _record_start(self, upstream: Upstream, started_unix_ms: int) -> None:
+        """Records a start, which counts from now, once: a repeated report is not another restart.
+
+        Its time stamp does not tell a late report from a step of the clock that it was taken from, and an
+        upstream whose start is dated too early would be taken for a warm one.
+        """
+        if upstream.is_restarted(started_unix_ms):
+            self._clock.observe_start(started_unix_ms)
+            upstream.record_start(started_unix_ms, self._clock.now())
 
     def catch_up(self, max_age: float) -> None:
         """Reads the events that have arrived, unless none older than `max_age` seconds can be unread."""
--- a/ironhinge/net/upstream.py
+++ b/ironhinge/net/upstream.py
@@ -18,6 +18,8 @@
 from .timers import Timer
 
 HEALTH_CHECK_ENDS = (AttemptEnd.HEALTHY, AttemptEnd.UNHEALTHY)
+# an endpoint list of a reload may tell the latest starts of an upstream once more
+MAX_START_STAMPS = 8
 CONNECT_FAILURES = (AttemptEnd.CONNECTION_REFUSED, AttemptEnd.CONNECT_TIMEOUT)
 
 
@@ -209,8 +211,9 @@
         self.id = upstream_id
         self.address = address
         self.state = EndpointState.READY
-        self.started_unix_ms = 0  # as stated by the endpoint list; 0: not stated
-        self.started_at = 0  # the same instant on the monotonic clock
+        self.started_at = 0  # when its latest start was reported (monotonic ticks); 0: none was
+        # time stamps of the latest starts that were reported, oldest first
+        self._start_stamps: tuple[int, ...] = ()
         self.connections: list[UpstreamConnection] = []
 
     @property
@@ -218,6 +221,18 @@
         """Whether it takes new requests."""
         return self.state is EndpointState.READY
 
+    def is_restarted(self, started_unix_ms: int) -> bool:
+        """Returns whether a reported start is a new one; its time stamp is 0 if none was reported.
+
+        A new start may have an earlier time stamp than the one before it, if the wall clock was stepped back.
+        """
+        return bool(started_unix_ms) and started_unix_ms not in self._start_stamps
+
+    def record_start(self, started_unix_ms: int, now: int) -> None:
+        """Records a start that was not reported before."""
+        self._start_stamps = (*self._start_stamps, started_unix_ms)[-MAX_START_STAMPS:]
+        self.started_at = now
+
     def retire(self) -> None:
         """Retires all its connections; each closes once no operation is in flight on it."""
         for each in list(self.connections):
