Attempts: a repeat is not written after its start deadline, timer or not

What could happen: a request with an idempotency key runs twice. Servers forget its key at the end of the window; only a timer kept the repeat from being sent later, and after a stop the loop may flush before it fires the timers.

Cause: _render_command checked the deadline of an attempt, not its start deadline.

Evidence: a repeat that is queued before a stop over the end of its window, and flushed after it, reaches the server.

Change: the start deadline is checked as well, just before the command is rendered. A command that has been sent in part goes on.

Measured: the new test failed before ("done" in place of "unsent"), and passes.

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -172,16 +172,19 @@
         """Encodes an attempt's command just before it is written; returns nothing if the attempt has ended.
 
         While the command waited for its connection, its client may have disconnected, or a drain or purge may
-        have arrived and not been read yet. So unread input is read first, and may end the attempt. An attempt
+        have arrived and not been read yet. So unread input is read first, and may end the attempt. If the
+        process was stopped, its start deadline may have passed without its timer having fired. An attempt
         whose command is partly sent is not ended here: its connection sends the rest, or closes.
         """
         attempt.request.client.connection.catch_up(MAX_UNREAD_AGE)
         self.catch_up_with_discovery(MAX_UNREAD_AGE)
         now = self._clock.now()
-        if not attempt.is_finished and (attempt.request.is_closed or now >= attempt.deadline):
-            if not attempt.withdraw():
+        is_over = attempt.request.is_closed or now >= attempt.deadline
+        if not attempt.is_finished and (is_over or attempt.is_past_start_deadline(now)):
+            if attempt.withdraw():
+                self.finish_operation(attempt, AttemptEnd.NOT_SENT)
+            elif is_over:
                 return ()
-            self.finish_operation(attempt, AttemptEnd.NOT_SENT)
         if attempt.is_finished:
             return ()
         set_time_remaining(fields, attempt.deadline - now)
--- a/ironhinge/net/upstream.py
+++ b/ironhinge/net/upstream.py
@@ -68,6 +68,10 @@
         self.timers: list[Timer] = []  # cancelled when it ends
         self.is_finished = False
 
+    def is_past_start_deadline(self, now: int) -> bool:
+        """Returns whether it must not be sent any more, unless part of its command has been written."""
+        return 0 < self.start_deadline <= now
+
     def withdraw(self) -> bool:
         """Withdraws its command; False if part of it has been written already."""
         if self.connection is None or self.frame is None:
--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -346,6 +346,28 @@
     assert upstream.request_ids == {OTHER}
 
 
+def test_repeat_is_not_sent_after_its_dedup_window_though_a_stop_hid_the_end_of_the_window():
+    """A request could run twice: after a stop its command was written before the timer of the window fired."""
+    upstream = FakeUpstream(has_all_objects=True)
+    fake_router = FakeRouter(
+        RequestReceived=[
+            send_attempt(request_id=OTHER),
+            lambda now: [interface.SendAttempt(TRACE, "s-00000001", now + PATIENCE_TICKS, now + 1000)],
+        ]
+    )
+
+    async def scenario(director_under_test, client, wait_until):
+        await connect_upstream(director_under_test, client, fake_router, wait_until)
+        director_under_test.admit(client, request_frame(2))
+        stop(0.2)
+        director_under_test.manager.flush()
+        await wait_until(lambda: len(fake_router.events_of(interface.AttemptFinished)) == 2)
+
+    run_director(fake_router, scenario, (upstream, upstream))
+    assert [end.result for end in fake_router.events_of(interface.AttemptFinished)] == ["done", "unsent"]
+    assert upstream.request_ids == {OTHER}
+
+
 def test_answer_that_arrived_in_time_is_read_before_its_attempt_times_out():
     """Guards requests in flight during a stop: the answer arrived in time, and only its read is late."""
     upstream = FakeUpstream(has_all_objects=True)
