Requests: the bodies of open requests have a bound; beyond it they are rejected

Cause: nothing bounded the bytes of open requests. Each body was held twice, in the request and in the command that was rendered from it.

Change: bodies of open requests may use a fifth of the memory limit; a request that does not fit is rejected at once, with a pause where allowed, and counted. Requests without a body are always let in. A long body is a piece of the command of its own and not copied.

Not bounded yet: frames that are not complete (a known limit, see capacity.md).

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -188,7 +188,7 @@
         if attempt.is_finished:
             return ()
         set_time_remaining(fields, attempt.deadline - now)
-        return (upstream_wire.encode_request(attempt.operation_id, fields, attempt.request.body),)
+        return upstream_wire.encode_request(attempt.operation_id, fields, attempt.request.body)
 
     def finish_operation(
         self,
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -52,6 +52,7 @@
 from .extensions import LocalCopyStore, TrafficAccount
 from .gossip import Gossip
 from .loop_monitor import LoopMonitor
+from .memory_budget import REQUEST_BODY_SHARE, MemoryBudget
 from .open_request import Attempt, OpenRequest
 from .timers import Timers
 from .upstream import UpstreamOperation
@@ -60,9 +61,16 @@
 
 MAINTENANCE_INTERVAL = 50 * MILLISECOND  # of `run_maintenance`, which measures the loop lag in each run
 RUNS_PER_TIMEOUT_CHECK = 2
+MEMORY_RETRY_AFTER = 250 * MILLISECOND  # for a request that is rejected for lack of memory
 RUNS_PER_SUMMARY = 1200  # one minute
 
 
+def _retry_after_fields(retry_after: int) -> dict[str, str]:
+    """Returns the fields of a rejection that tell the client how long to wait, in ticks; 0: they do not."""
+    pause = retry_after // MILLISECOND
+    return {"pause": str(pause)} if pause else {}
+
+
 class Director:
     """One director instance: its open requests, client connections and upstreams."""
 
@@ -80,6 +88,7 @@
         self.requests: dict[str, OpenRequest] = {}
         self.shutdown_deadline: int | None = None  # for all answers; None: not shutting down
         self.admission_deadline: int | None = None  # requests read after that are rejected at once
+        self.request_bodies = MemoryBudget(config.limits.memory_mb, REQUEST_BODY_SHARE)
         self.diagnostics = Diagnostics(self.clock)
         self.monitor = LoopMonitor(self.clock)
         self.clients = ClientRegistry(manager, self.clock)
@@ -165,10 +174,21 @@
             text = str(error).encode()
             client.connection.write(client_wire.answer(message.stream, client_wire.ABORTED, {}, text))
             return
+        if not self.request_bodies.reserve(len(request.body)):
+            self._reject_for_memory(client, request)
+            return
         client.open_requests[request.stream] = self.requests[request.request_id] = request
         self.diagnostics.counters["requests"] += 1
         self.decision_loop.report_request(request.received, request.deadline)
 
+    def _reject_for_memory(self, client: ClientConnection, request: OpenRequest) -> None:
+        """Rejects a request whose body does not fit beside those of the open requests."""
+        self.diagnostics.counters["requests_rejected_for_memory"] += 1
+        self.event_log.record(EventKind.REQUEST_REJECTED, request.request_id, "memory")
+        pause = min(MEMORY_RETRY_AFTER, self.config.deployment.max_retry_after)
+        fields = _retry_after_fields(pause)
+        client.connection.write(client_wire.answer(request.stream, client_wire.DENIED, fields))
+
     def _open_request(
         self,
         client: ClientConnection,
@@ -232,7 +252,9 @@
     def delete_if_done(self, request: OpenRequest) -> None:
         """Removes a request that is closed and has no attempt in flight."""
         if request.is_closed and request.attempt is None:
-            self.requests.pop(request.request_id, None)
+            removed = self.requests.pop(request.request_id, None)
+            if removed is not None:
+                self.request_bodies.release(len(removed.body))
 
     # Reports of the components
 
@@ -317,8 +339,8 @@
             self.local_store.store_copy(received, answer.tag, answer.produced_unix_ms, answer.body)
 
     def _reject_request(self, command: RejectRequest) -> None:
-        pause = command.retry_after // MILLISECOND
-        self.send_final_answer(command.request_id, client_wire.DENIED, {"pause": str(pause)} if pause else {})
+        fields = _retry_after_fields(command.retry_after)
+        self.send_final_answer(command.request_id, client_wire.DENIED, fields)
 
     def _fail_request(self, command: FailRequest) -> None:
         self.send_final_answer(command.request_id, client_wire.ABORTED, {})
@@ -367,6 +389,7 @@
         """Returns the counters, open requests and sockets, and the loop lag, as key=value fields."""
         lag_ms = self.monitor.loop_lag / MILLISECOND
         open_now = f"open_requests={len(self.requests)} open_sockets={self.manager.open_sockets}"
+        open_now += f" request_body_bytes_peak={self.request_bodies.peak}"
         return f"{self.diagnostics.summary()} {open_now} loop_lag_ms={lag_ms}"
 
     # Shutdown
--- a/ironhinge/net/upstream_wire.py
+++ b/ironhinge/net/upstream_wire.py
@@ -26,6 +26,7 @@
 CRLF_BYTES = 2
 ARRAY_MARKER = b"*"
 ITEM_MARKER = b"$"
+MAX_COPIED_BODY = 1024  # bytes; a longer body is a piece of its own
 MAX_ITEM_BYTES = 262_144  # limit of the protocol
 MAX_ITEMS = 16  # well above the items of any answer
 MAX_LINE_BYTES = 24  # above the length of a marker, a number and CRLF
@@ -98,15 +99,23 @@
     tag: str = ""
 
 
+def _bulk_string(item: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(item), item)
+
+
 def command(*items: bytes) -> bytes:
     """Encodes a command as a RESP array of bulk strings."""
-    return b"*%d\r\n" % len(items) + b"".join(b"$%d\r\n%b\r\n" % (len(item), item) for item in items)
+    return b"*%d\r\n" % len(items) + b"".join(map(_bulk_string, items))
 
 
-def encode_request(operation_id: str, fields: dict[str, str], body: bytes) -> bytes:
-    """Encodes a request for an object."""
+def encode_request(operation_id: str, fields: dict[str, str], body: bytes) -> tuple[bytes, ...]:
+    """Encodes a request for an object in pieces, so that a long body is not copied."""
     text = ",".join(f"{key}={value}" for key, value in fields.items()) or NO_ATTRIBUTES
-    return command(COMMAND_REQUEST, operation_id.encode(), text.encode(), body)
+    items = (COMMAND_REQUEST, operation_id.encode(), text.encode())
+    if len(body) <= MAX_COPIED_BODY:
+        return (command(*items, body),)
+    head = b"*%d\r\n" % (len(items) + 1) + b"".join(map(_bulk_string, items))
+    return head + b"$%d\r\n" % len(body), body, CRLF
 
 
 def encode_cancel(operation_id: str) -> bytes:
--- a/tests/test_net_protocols.py
+++ b/tests/test_net_protocols.py
@@ -193,10 +193,10 @@
 
 
 def test_commands_are_arrays_of_bulk_strings():
-    assert upstream_wire.encode_request("a1", {"kind": "film", "seg": "3"}, b"\r\n") == resp_array(
-        b"want", b"a1", b"kind=film,seg=3", b"\r\n"
-    )
-    assert upstream_wire.encode_request("a1", {}, b"") == resp_array(b"want", b"a1", b"-", b"")
+    for body in (b"\r\n", bytes(1024), bytes(1025), bytes(240_000)):
+        pieces = upstream_wire.encode_request("a1", {"kind": "film", "seg": "3"}, body)
+        assert b"".join(pieces) == resp_array(b"want", b"a1", b"kind=film,seg=3", body)
+    assert b"".join(upstream_wire.encode_request("a1", {}, b"")) == resp_array(b"want", b"a1", b"-", b"")
     assert upstream_wire.encode_cancel("a1") == resp_array(b"never_mind", b"a1")
     assert upstream_wire.encode_health_check("p1") == resp_array(b"busy", b"p1")
 
--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -347,7 +347,7 @@
 
 
 def test_repeat_is_not_sent_after_its_dedup_window_though_a_stop_hid_the_end_of_the_window():
-    """A request could run twice: after a stop its command was written before the timer of the window fired."""
+    """A request could run twice: after a stop, its command was written before the timer had fired."""
     upstream = FakeUpstream(has_all_objects=True)
     fake_router = FakeRouter(
         RequestReceived=[
