Director: local copies have a module of their own

What executes the router's commands on the local store stands in net/local_copies.py now; nothing else changes.

--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -21,7 +21,6 @@
     FailRequest,
     GossipReceived,
     InstanceStarted,
-    LocalCopyFinished,
     RejectRequest,
     RequestFullList,
     SendAttempt,
@@ -39,7 +38,7 @@
 from ..routing import Router
 from . import client_wire
 from .attempt_end import AttemptEnd
-from .attempts import NOT_MODIFIED_FIELDS, Attempts
+from .attempts import Attempts
 from .client_connection import ClientConnection
 from .client_registry import ClientRegistry
 from .client_request import RequestFieldError, read_request
@@ -51,6 +50,7 @@
 from .event_log import EventKind, EventLog
 from .extensions import LocalCopyStore, TrafficAccount
 from .gossip import Gossip
+from .local_copies import LocalCopies
 from .loop_monitor import LoopMonitor
 from .memory_budget import REQUEST_BODY_SHARE, MemoryBudget
 from .open_request import Attempt, OpenRequest
@@ -102,10 +102,11 @@
         self.decision_loop = DecisionLoop(
             router, self.clock, self._on_decision_error, self.attempts.recent_answers.clear
         )
-        self.decision_loop.handlers = self._command_handlers()
         self.attempts.pool = self.pool
         self.attempts.timers = self.timers
         self._attach_extensions(traffic_account, local_store)
+        self.local_copies = LocalCopies(local_store, self, self.attempts.recent_answers, manager.task_group)
+        self.decision_loop.handlers = self._command_handlers()
         manager.on_call_failed = self.diagnostics.on_call_failed
         manager.shed_idle = self.pool.shed_idle
 
@@ -125,8 +126,8 @@
             SendAttemptWithFill: self.attempts.send,
             CancelAttempt: self.attempts.cancel,
             SendHealthCheck: self.attempts.send_health_check,
-            ServeLocalCopy: self._serve_local_copy,
-            StoreLocalCopy: self._store_local_copy,
+            ServeLocalCopy: self.local_copies.serve,
+            StoreLocalCopy: self.local_copies.store,
             RejectRequest: self._reject_request,
             FailRequest: self._fail_request,
             SetTimer: self._set_timer,
@@ -146,6 +147,10 @@
         self.report(InstanceStarted())
         self.discovery.apply_known()
 
+    def flush(self) -> None:
+        """Writes all queued output, as far as the system accepts it."""
+        self.manager.flush()
+
     def report(self, event: Event) -> None:
         """Passes an event to the router and executes the commands that it returns."""
         self.decision_loop.report(event)
@@ -312,32 +317,6 @@
 
     # Commands of the router
 
-    def _serve_local_copy(self, command: ServeLocalCopy) -> None:
-        request = self.requests.get(command.request_id)
-        if request is not None:
-            self.manager.task_group.start_soon(self._read_local_copy, request)
-
-    async def _read_local_copy(self, request: OpenRequest) -> None:
-        """Answers a request from the local store; reports to the router once whether it was served."""
-        served = False
-        try:
-            copy = await self.local_store.read(request.received) if self.local_store is not None else None
-            if copy is not None:
-                served = True
-                client_has_copy = request.forwarded.held_tag == copy.tag.decode(errors="replace")
-                fields, body = (NOT_MODIFIED_FIELDS, b"") if client_has_copy else ({}, copy.body)
-                self.send_final_answer(request.request_id, client_wire.DONE, fields, body)
-        except Exception:  # noqa: BLE001 - the router sends the request to a cache instead
-            logger.exception("local_copy_failed request={}", request.request_id)
-        self.report(LocalCopyFinished(request.request_id, served))
-        self.manager.flush()
-
-    def _store_local_copy(self, command: StoreLocalCopy) -> None:
-        recent = self.attempts.recent_answers.pop(command.request_id, None)
-        if recent is not None and self.local_store is not None:
-            received, answer = recent
-            self.local_store.store_copy(received, answer.tag, answer.produced_unix_ms, answer.body)
-
     def _reject_request(self, command: RejectRequest) -> None:
         fields = _retry_after_fields(command.retry_after)
         self.send_final_answer(command.request_id, client_wire.DENIED, fields)
