Discovery: an event that keeps arriving is read to its end, however slowly

A change that arrived in pieces over more than 2 s was never applied, nor anything behind it: drains, cold starts, purges.

Cause: silence was counted from the last whole frame, so the connection was closed though bytes came, and the same event was asked for again, for ever.

Change: silence counts from the last byte; a whole frame may take 20 s (a list of 3,200 endpoints at 5 KB a second).

--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -33,8 +33,6 @@
 from .upstream import Upstream
 from .upstream_pool import UpstreamPool
 
-# The service writes every second; the protocol counts events as delivered 4 s after it falls silent.
-SILENCE_TIMEOUT = 2 * SECOND
 SILENCE_CHECK_INTERVAL = SECOND // 4
 MIN_RECONNECT_PAUSE = 0.05  # seconds
 MAX_RECONNECT_PAUSE = 0.4  # seconds; the protocol counts events as delivered 2 s after a break
@@ -207,13 +205,13 @@
                 await anyio.sleep(with_jitter(pause))
 
     async def _wait_until_closed(self, current: DiscoveryConnection) -> None:
-        """Waits until a connection is closed; closes it after `SILENCE_TIMEOUT` without a frame."""
+        """Waits until a connection is closed; closes it if the service is silent or takes too long."""
         while not current.closed.is_set():
             with anyio.move_on_after(self._clock.seconds(SILENCE_CHECK_INTERVAL)):
                 await current.closed.wait()
-            if self._clock.now() > current.last_received_at + SILENCE_TIMEOUT:
+            if current.is_stalled(self._clock.now()):
                 current.connection.read_now()  # this process may have been late to read
-            if self._clock.now() > current.last_received_at + SILENCE_TIMEOUT:
+            if current.is_stalled(self._clock.now()):
                 current.connection.close(AttemptEnd.TIMED_OUT)
 
     def apply_config(self, config: DirectorConfig) -> None:
--- a/ironhinge/net/discovery_connection.py
+++ b/ironhinge/net/discovery_connection.py
@@ -10,9 +10,14 @@
 from ..config import DiscoveryUpdate
 from . import discovery_wire
 from .attempt_end import AttemptEnd
-from .clock import Clock
+from .clock import SECOND, Clock
 from .connection import Connection
 
+# The service writes every second; the protocol counts events as delivered 4 s after it falls silent.
+SILENCE_TIMEOUT = 2 * SECOND
+# For a whole frame, however slowly it arrives: a full list of 3,200 endpoints at 5 KB a second.
+FRAME_TIMEOUT = 20 * SECOND
+
 
 class UpdateReceiver(Protocol):
     """Applies the events of the discovery service."""
@@ -32,7 +37,8 @@
     def __init__(self, receiver: UpdateReceiver, clock: Clock):
         self.closed = anyio.Event()
         self.has_received = False
-        self.last_received_at = clock.now()  # when connecting began or the last complete frame arrived
+        self.last_received_at = clock.now()  # when connecting began or the last data arrived
+        self._frame_began_at = self.last_received_at  # when the latest frame began to arrive
         self.connection: Connection
         self._receiver = receiver
         self._clock = clock
@@ -44,10 +50,13 @@
 
     def on_data(self, connection: Connection, data: memoryview) -> None:
         """Decodes events and applies them in order; closes the connection if they can't be parsed."""
+        self.last_received_at = self._clock.now()
+        had_partial_frame = self._wire.has_partial_frame()
         updates, error = self._wire.feed(data)
+        if updates or not had_partial_frame:
+            self._frame_began_at = self.last_received_at
         for update in updates:
             self.has_received = True
-            self.last_received_at = self._clock.now()
             self._receiver.apply(update)
             if isinstance(update, discovery_wire.Keepalive):
                 self._receiver.set_caught_up(self.last_received_at)
@@ -55,6 +64,11 @@
             logger.warning("discovery_unparsable error={}", error)
             connection.close(AttemptEnd.UNPARSABLE)
 
+    def is_stalled(self, now: int) -> bool:
+        """Returns whether the service is silent, or takes too long for a frame."""
+        is_silent = now > self.last_received_at + SILENCE_TIMEOUT
+        return is_silent or (self._wire.has_partial_frame() and now > self._frame_began_at + FRAME_TIMEOUT)
+
     def on_closed(self, connection: Connection, end: AttemptEnd) -> None:
         """Wakes the task that waits for the end of the connection."""
         self.closed.set()
--- a/ironhinge/net/discovery_wire.py
+++ b/ironhinge/net/discovery_wire.py
@@ -98,6 +98,10 @@
     def __init__(self) -> None:
         self._buffered = bytearray()
 
+    def has_partial_frame(self) -> bool:
+        """Returns whether a frame has begun to arrive and is not complete."""
+        return bool(self._buffered)
+
     def feed(self, data: memoryview) -> tuple[list[DiscoveryEvent], UnparsableError | None]:
         """Decodes more bytes.
 
