Disk tier: no copy is served once discovery has been silent for two seconds

Callers saw (with the tier on, which is off by default): copies from before a purge through an outage of discovery of any length, 50 of 50 requests.

Cause: a look-up considers known purges only; that purges may be missing counted at a start alone.

Evidence: a copy is served 2.1 s after the last frame of discovery, as at any time (the new test on the text before).

Change: a look-up finds no copy once nothing has arrived from discovery for 2 s; the request goes to a cache. The status counts these as `unconfirmed`.

--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -188,7 +188,8 @@
     from .disk.errors import DiskError
     from .disk.tier import DiskTier, TierContext
 
-    context = TierContext(config.name, config.deployment, clock.now, clock.unix_ms, runner)
+    follows_discovery = config.discovery_address is not None
+    context = TierContext(config.name, config.deployment, clock.now, clock.unix_ms, runner, follows_discovery)
     try:
         return DiskTier(operations.disk, context)
     except (OSError, DiskError) as error:
--- a/ironhinge/disk/tier.py
+++ b/ironhinge/disk/tier.py
@@ -36,6 +36,8 @@
 _MAX_PENDING_BYTES = 8 << 20  # queued bytes above which no copy is admitted
 _WRITE_INTERVAL = 0.05  # seconds; copies that arrive in one interval are written together
 _PROGRESS_INTERVAL_MS = 2000  # minimum time between two records of discovery progress
+# The service writes every second; the protocol counts events as delivered 2 s after a break.
+_MAX_DISCOVERY_SILENCE = 2 * TICKS_PER_SECOND
 _CHECKPOINT_INTERVAL = 60.0  # seconds
 _CHECKPOINT_DEADLINE = 5  # seconds until the deadline of the checkpoint's job
 _SCRUB_INTERVAL = 600.0  # seconds
@@ -59,6 +61,7 @@
     now: Callable[[], int]  # monotonic clock, in tenths of a millisecond
     unix_ms: Callable[[], int]
     runner: Runner
+    follows_discovery: bool = False  # purges are learned from a discovery service
 
 
 @dataclass(slots=True)
@@ -70,6 +73,7 @@
     slow_reads: int = 0  # reads that exceeded their timeout
     stored: int = 0
     rejected: int = 0  # copies that admission rejected
+    unconfirmed: int = 0  # copies that were not served, as a purge may not have arrived
 
 
 class _HitCountKey(NamedTuple):
@@ -144,6 +148,7 @@
         self._write_needed = anyio.Event()
         self._pending_produced_at: dict[PartKey, int] = {}  # Unix ms, of queued copies
         self._progress_recorded_at = 0
+        self._discovery_seen_at = context.now()
         self._recovery_ms = (context.now() - started_at) / _TICKS_PER_MS
         fields = " ".join(f"{name}={value}" for name, value in self.store.status().items())
         logger.info("store_opened {}", fields)
@@ -162,8 +167,15 @@
         if entry is None:
             self.counters.misses += 1
             return NO_COPY
+        if self._may_miss_purges(now):
+            self.counters.unconfirmed += 1
+            return NO_COPY
         return max(0, (self.context.unix_ms() - entry.produced_at) * _TICKS_PER_MS)
 
+    def _may_miss_purges(self, now: int) -> bool:
+        """Returns whether discovery has been silent for so long that a purge may be due and not known."""
+        return self.context.follows_discovery and now > self._discovery_seen_at + _MAX_DISCOVERY_SILENCE
+
     def should_store(self, now: int, request: interface.RequestReceived) -> bool:
         """Returns whether to store the answer to a request.
 
@@ -233,8 +245,9 @@
     def on_discovery_progress(self, unix_ms: int) -> None:
         """Records that the discovery stream has delivered all purges up to a time.
 
-        Calls within `_PROGRESS_INTERVAL_MS` of the last record are ignored, to limit writes.
+        The time is not written for calls within `_PROGRESS_INTERVAL_MS` of the last record, to limit writes.
         """
+        self._discovery_seen_at = self.context.now()
         if unix_ms >= self._progress_recorded_at + _PROGRESS_INTERVAL_MS:
             self._progress_recorded_at = unix_ms
             self.store.record_discovery_progress(unix_ms)
@@ -277,6 +290,7 @@
             "slow": self.counters.slow_reads,
             "kept": self.counters.stored,
             "refused": self.counters.rejected,
+            "unconfirmed": self.counters.unconfirmed,
             "recovery_ms": self._recovery_ms,
             "written_for_kept": round(written / self._stored_bytes, 3) if self._stored_bytes else None,
             "hit_share": {
--- a/tests/test_disk_tier.py
+++ b/tests/test_disk_tier.py
@@ -114,6 +114,29 @@
     assert json.loads(run("disk", "status", str(tmp_path / "tier"), "--json")[1])["entries"] == 0
 
 
+def test_copies_are_not_served_while_discovery_is_down_and_a_purge_may_be_missed(tmp_path):
+    """A copy from before a purge was served through an outage of discovery, however long it lasted."""
+    upstream, coordinator = FakeUpstream(has_all_objects=True), FakeCoordinator()
+    program = DirectorWithTier(tmp_path, config_for(upstream, coordinator=coordinator.address))
+    try:
+        client = FakeClient(program.port)
+        for _ in range(3):
+            request_copy(client, FIRST_ENTITY)
+        wait_until(lambda: tier_has_copies(tmp_path, 1))
+        for index in (2, 3):  # events of another object: discovery is up
+            at = int(time.time() * 1000)
+            coordinator.publish(index, 3, bytes.fromhex(SECOND_ENTITY) + at.to_bytes(8, "big"))
+            time.sleep(0.2)
+            request_count = len(upstream.request_ids)
+            assert request_copy(client, FIRST_ENTITY)[0] == 1
+            assert len(upstream.request_ids) == request_count, "not served from disk while discovery was up"
+            time.sleep(2.1)  # the coordinator writes nothing meanwhile
+            assert request_copy(client, FIRST_ENTITY)[0] == 1
+            assert len(upstream.request_ids) == request_count + 1
+    finally:
+        program.stop()
+
+
 def test_purges_apply_to_the_tier_including_those_sent_while_it_was_down(tmp_path):
     upstream, coordinator = FakeUpstream(has_all_objects=True), FakeCoordinator()
     config = config_for(upstream, coordinator=coordinator.address)
