Frames: a write while a frame is rendered is queued, not sent from within

What could happen: a server receives a damaged command and closes the connection with all that is open on it. Suspected in the review from reading.

Cause: rendering a command reads its client's connection; a cancellation found there, for another attempt on the same upstream connection, was written at once from within the outer write. Where the socket filled up in that moment, a part of the command was sent twice, or two tasks waited for one descriptor.

Evidence: forced by a frame that fills the socket and whose render writes: the peer gets a part of it before the whole; with a frame that is rendered again, connection_task_failed.

Change: send_pending does nothing while it runs further up; what was queued meanwhile is sent by that run, after the frame.

Measured: both new tests failed before and pass.

--- a/ironhinge/net/frame_writer.py
+++ b/ironhinge/net/frame_writer.py
@@ -41,6 +41,8 @@
         self.rendered_at = inf  # when the oldest unsent frame in the ring was rendered; inf: there is none
         self.is_peer_slow = False  # the peer read too slowly to take the whole of a partly sent frame
         self.is_connected = self.is_closed = self.is_finishing = False
+        # `send_pending` is running; rendering a frame may read a cancellation that is written to it at once
+        self.is_sending = False
         self.write_side_closed = False  # this side has been shut down for writing
         self.no_delay = False  # TCP_NODELAY is on
         self.cancel_scope = anyio.CancelScope()
@@ -75,7 +77,10 @@
         return frame
 
     def write_now(self, pieces: Pieces) -> bool:
-        """Queues a frame and sends this connection's queue at once; False if part of it remains unsent."""
+        """Queues a frame and sends this connection's queue at once; False if part of it remains unsent.
+
+        While a frame is being rendered, it is only queued, and sent after that frame.
+        """
         self.write(pieces)
         self.send_pending()
         return not self.pending_frames and not self.outbound.used
@@ -104,7 +109,18 @@
 
     def send_pending(self) -> None:
         """Sends what the system accepts now, and starts a task that waits to send the rest."""
-        if self.sock is None or not self.is_connected or self.is_closed or self.write_wait_scope is not None:
+        if self.is_sending or self.write_wait_scope is not None:
+            return  # what was queued meanwhile is sent as part of that
+        if self.sock is None or not self.is_connected or self.is_closed:
+            return
+        self.is_sending = True
+        try:
+            self._send_pending()
+        finally:
+            self.is_sending = False
+
+    def _send_pending(self) -> None:
+        if self.sock is None:
             return
         calls = self.owner.calls
         if not self.no_delay:
--- a/tests/test_partial_frames.py
+++ b/tests/test_partial_frames.py
@@ -125,3 +125,59 @@
     received, is_closed, _ = send_partly(monkeypatch, render, 0.3, Remedy.PAUSE)
     assert received == b"command=a,ms"
     assert is_closed
+
+
+def test_write_while_a_frame_is_rendered_does_not_send_that_frame_twice():
+    """A command arrived damaged: a cancel that was read while it was rendered sent a part of it first."""
+    content = bytes(i % 251 for i in range(400_000))  # fills the socket
+    received = []
+
+    async def scenario(receiver, peer):
+        connection = receiver.connection
+        cancels = [b"cancel"]
+
+        def render():
+            if cancels:
+                connection.write_now([cancels.pop()])
+            return (content,)
+
+        connection.write((), render=render)
+        connection.send_pending()
+        connection.finish()
+        connection.owner.flush()
+        received.append(await receive_all(peer))
+
+    run_with_connection(scenario)
+    assert received == [content + b"cancel"]
+
+
+def test_write_while_a_frame_is_rendered_again_follows_that_frame(monkeypatch):
+    """The same where a part of the frame has been sent and the rest is rendered again."""
+    writes = []
+
+    async def scenario(receiver, peer):
+        connection = receiver.connection
+        calls, parts = connection.owner.calls, [CUT]
+        original = calls.send
+
+        def send(sock, data, latest=inf):
+            if not parts:
+                return original(sock, data, latest)
+            sent = original(sock, data[: parts.pop()], latest)
+            stop(0.05)
+            return sent
+
+        def render():
+            if not parts and not writes:
+                writes.append(connection.write_now([b"cancel"]))
+            return (b"command" * 10,)
+
+        monkeypatch.setattr(calls, "send", send)
+        connection.write((), render=render)
+        connection.send_pending()
+        connection.finish()
+        connection.owner.flush()
+        writes.append(await receive_all(peer))
+
+    run_with_connection(scenario)
+    assert writes == [False, b"command" * 10 + b"cancel"]
