Clients: incomplete frames have a bound; a frame beyond it is read, not kept

Cause: a connection keeps the bytes of a frame until it is whole; only the number of connections bounded that.

Change: incomplete frames share 0.15 of the memory limit. A frame over 4 KB that does not fit is read to its end and dropped; its request is rejected with a pause, on the stream that its first bytes name.

--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -34,6 +34,7 @@
 from .clock import MILLISECOND, SECOND, Clock
 from .connection import Connection
 from .event_log import EventKind, EventLog
+from .memory_budget import MemoryBudget
 from .open_request import OpenRequest
 
 MAX_OPEN_REQUESTS = 32  # on one connection; the protocol's limit
@@ -69,6 +70,7 @@
     """The interface that a client connection needs from the director."""
 
     clock: Clock
+    incomplete_frames: MemoryBudget
 
     @property
     def event_log(self) -> EventLog:
@@ -95,9 +97,7 @@
     def on_client_closed(self, client: ClientConnection) -> None:
         """Removes a connection that was closed."""
 
-    def admit(
-        self, client: ClientConnection, message: client_wire.RequestFrame | client_wire.MalformedRequest
-    ) -> None:
+    def admit(self, client: ClientConnection, message: client_wire.RequestMessage) -> None:
         """Handles a received request; the answer goes to its stream."""
 
     def on_client_disconnected(self, request: OpenRequest) -> None:
@@ -115,7 +115,7 @@
 
     def __init__(self, owner: ClientConnectionOwner):
         self.number = owner.next_client_number()
-        self.wire = client_wire.ClientWire()
+        self.wire = client_wire.ClientWire(owner.incomplete_frames)
         self.open_requests: dict[int, OpenRequest] = {}  # by stream
         self.connection: Connection
         self.phase = Phase.OPEN
@@ -143,7 +143,7 @@
         """Decodes received bytes and handles the complete frames."""
         if self._drops_input():
             return
-        had_partial_frame = bool(self.wire.buffered)
+        had_partial_frame = self.wire.has_partial_frame()
         self.last_received_at = self._owner.clock.now()
         messages = self.wire.feed(data)
         if messages or not had_partial_frame:
@@ -151,7 +151,7 @@
         for message in messages:
             if self._drops_input():  # the previous message may have shut down this side
                 return
-            if message is messages[-1] and not self.wire.buffered:
+            if message is messages[-1] and not self.wire.has_partial_frame():
                 connection.use_backlog_data_time()
             self._record_usage(message)
             self._on_message(message)
@@ -165,12 +165,12 @@
         elif isinstance(message, client_wire.ReadinessQuery):
             is_ready = not self._owner.is_shutting_down()
             self.connection.write(client_wire.readiness_report(message.stream, is_ready))
-        elif isinstance(message, (client_wire.RequestFrame, client_wire.MalformedRequest)):
+        elif isinstance(message, client_wire.RequestMessage):
             self._on_request(message)
         else:
             self._close_for_violation(message.text)
 
-    def _on_request(self, message: client_wire.RequestFrame | client_wire.MalformedRequest) -> None:
+    def _on_request(self, message: client_wire.RequestMessage) -> None:
         if not message.stream or message.stream in self.open_requests:
             self._close_for_violation(f"stream {message.stream} can't take a request")
         elif len(self.open_requests) >= MAX_OPEN_REQUESTS:
@@ -179,7 +179,7 @@
             self._owner.admit(self, message)
 
     def _record_usage(self, message: client_wire.Message) -> None:
-        if isinstance(message, client_wire.RequestFrame):
+        if isinstance(message, (client_wire.RequestFrame, client_wire.DiscardedRequest)):
             self.usage = Usage.REQUESTS
         elif self.usage is Usage.NONE:
             self.usage = Usage.READINESS_ONLY
@@ -249,6 +249,7 @@
         """
         self._owner.warn("protocol_violations", f"client_protocol_violation error={text!r}")
         self.close_cause = CloseCause.PROTOCOL_VIOLATION
+        self.wire.clear()
         self.half_close()  # first, so that all effects of the failed requests find the connection closing
         for request in list(self.open_requests.values()):
             self._owner.fail(request)
@@ -263,7 +264,10 @@
         """Returns whether no request is open, no output is queued, and no input is unread or incomplete."""
         connection = self.connection
         is_busy = (
-            self.open_requests or self.wire.buffered or connection.pending_frames or connection.outbound.used
+            self.open_requests
+            or self.wire.has_partial_frame()
+            or connection.pending_frames
+            or connection.outbound.used
         )
         return not (is_busy or connection.has_unread())
 
@@ -277,7 +281,7 @@
         if self.phase is Phase.HALF_CLOSED:
             if self.close_not_before is not None and now > self.close_not_before:
                 self.connection.close(AttemptEnd.CLOSED)
-        elif self.wire.buffered:
+        elif self.wire.has_partial_frame():
             is_overdue = now > self.waiting_since + FRAME_TIMEOUT
             self.close_if_stalled(now, 0 if is_overdue else STALLED_TIMEOUT)
         elif self.phase is Phase.ANNOUNCED:
@@ -310,7 +314,7 @@
         """
         is_stalled = (
             self.phase is not Phase.HALF_CLOSED
-            and self.wire.buffered
+            and self.wire.has_partial_frame()
             and now > self.last_received_at + timeout
         )
         if not is_stalled or self.connection.has_unread():
@@ -345,6 +349,7 @@
 
     def on_closed(self, connection: Connection, end: AttemptEnd) -> None:
         """Reports the close, and that the client no longer waits for its open requests."""
+        self.wire.clear()
         self._owner.on_client_closed(self)
         self._record(EventKind.CLIENT_CLOSED, end.name)
         if connection.discarded_bytes:
--- a/ironhinge/net/client_wire.py
+++ b/ironhinge/net/client_wire.py
@@ -5,7 +5,7 @@
 (length of 1 byte) and a value (length of 2 bytes).
 
 This module uses no socket, clock or open request; the only state that it keeps of a connection is that of its
-framing (`ClientWire`).
+framing (`ClientWire`). Incomplete frames share a memory budget.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from .errors import FieldError
+from .memory_budget import MemoryBudget
 
 # Frame types. Plain integers, since enum members are slow to access and every frame is compared to these.
 READINESS_QUERY = 1
@@ -38,6 +39,7 @@
 STREAM_END = 5  # offset after type and stream, counted from the end of the length
 MIN_FRAME_LENGTH = STREAM_END
 MAX_FRAME_LENGTH = 262_144  # the protocol's limit
+UNCOUNTED_FRAME_BYTES = 4096  # a shorter incomplete frame is not counted against the memory budget
 FRAME_HEADER = struct.Struct(">IBI")  # length, type, stream
 
 HEX_ID_PATTERN = re.compile("[0-9a-fA-F]{16}")
@@ -62,6 +64,12 @@
     text: str
 
 
+class DiscardedRequest(NamedTuple):
+    """A request whose frame was not kept, since the memory for incomplete frames was used up."""
+
+    stream: int
+
+
 class RequestCancelled(NamedTuple):
     """The client no longer waits for the response on this stream."""
 
@@ -86,7 +94,8 @@
     text: str
 
 
-Message = RequestFrame | MalformedRequest | RequestCancelled | ReadinessQuery | UnknownFrame | FramingLost
+RequestMessage = RequestFrame | MalformedRequest | DiscardedRequest
+Message = RequestMessage | RequestCancelled | ReadinessQuery | UnknownFrame | FramingLost
 
 
 def read_fields(data: bytes) -> tuple[dict[str, str], int]:
@@ -163,31 +172,53 @@
 class ClientWire:
     """Decodes the bytes of one client connection, which may arrive in any pieces.
 
+    A long frame that does not fit into the memory budget is read to its end but not kept. If it is a request,
+    it becomes a `DiscardedRequest`.
+
     Attributes:
         buffered: Bytes of a frame that is not complete yet.
         bytes_needed: Bytes that must be buffered before more can be decoded.
         is_out_of_sync: The framing is lost; all further bytes are ignored.
     """
 
-    __slots__ = ("buffered", "bytes_needed", "is_out_of_sync")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "_budget",
+        "_bytes_to_discard",
+        "_discarded_header",
+        "_reserved",
+        "buffered",
+        "bytes_needed",
+        "is_out_of_sync",
+    )
+
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
+        """Starts between frames; `budget` bounds the incomplete frames of all connections together."""
         self.buffered = bytearray()
         self.bytes_needed = LENGTH_BYTES
         self.is_out_of_sync = False
+        self._budget = budget
+        self._reserved = 0  # bytes that the incomplete frame has in the budget
+        self._bytes_to_discard = 0  # of the frame that is not kept
+        self._discarded_header = b""  # type and stream of that frame
+
+    def has_partial_frame(self) -> bool:
+        """Returns whether a frame has begun to arrive and is not complete."""
+        return bool(self.buffered or self._bytes_to_discard)
 
     def feed(self, data: memoryview) -> list[Message]:
         """Adds bytes; returns the messages that are complete now."""
         messages: list[Message] = []
         if self.is_out_of_sync:
             return messages
+        if self._bytes_to_discard:
+            data = self._discard(data, messages)
         self.buffered += data
         offset = 0
         while len(self.buffered) - offset >= self.bytes_needed:
             length = int.from_bytes(self.buffered[offset : offset + LENGTH_BYTES], "big")
             if not MIN_FRAME_LENGTH <= length <= MAX_FRAME_LENGTH:
                 self.is_out_of_sync = True
-                self.buffered = bytearray()
+                self.clear()
                 messages.append(FramingLost(f"a frame's length of {length} is out of bounds"))
                 return messages
             if len(self.buffered) - offset < LENGTH_BYTES + length:
@@ -202,8 +233,40 @@
             self.buffered = bytearray()  # releases the memory that a burst or a long frame needed
         elif offset:
             del self.buffered[:offset]
+        if self._reserved or len(self.buffered) > UNCOUNTED_FRAME_BYTES:
+            self._reserve_memory()
         return messages
 
+    def clear(self) -> None:
+        """Drops the incomplete frame, as nothing after it is decoded."""
+        self.buffered = bytearray()
+        self._bytes_to_discard = 0
+        if self._reserved:
+            self._reserve_memory()
+
+    def _reserve_memory(self) -> None:
+        """Counts the incomplete frame against the budget, and stops keeping it if it does not fit."""
+        if self._budget is None:
+            return
+        needed = len(self.buffered) if len(self.buffered) > UNCOUNTED_FRAME_BYTES else 0
+        self._budget.release(self._reserved)
+        self._reserved = needed if self._budget.reserve(needed) else 0
+        if needed and not self._reserved:
+            self._discarded_header = bytes(self.buffered[LENGTH_BYTES : LENGTH_BYTES + STREAM_END])
+            self._bytes_to_discard = self.bytes_needed - len(self.buffered)
+            self.buffered = bytearray()
+            self.bytes_needed = LENGTH_BYTES
+
+    def _discard(self, data: memoryview, messages: list[Message]) -> memoryview:
+        """Drops bytes of the frame that is not kept; returns those after its end."""
+        count = min(len(data), self._bytes_to_discard)
+        self._bytes_to_discard -= count
+        if not self._bytes_to_discard:
+            is_request = self._discarded_header[0] == REQUEST
+            stream = int.from_bytes(self._discarded_header[1:STREAM_END], "big")
+            messages.append(DiscardedRequest(stream) if is_request else self._decode(self._discarded_header))
+        return data[count:]
+
     def _decode(self, data: bytes) -> Message:
         kind = data[0]
         stream = int.from_bytes(data[1:STREAM_END], "big")
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -52,7 +52,7 @@
 from .gossip import Gossip
 from .local_copies import LocalCopies
 from .loop_monitor import LoopMonitor
-from .memory_budget import REQUEST_BODY_SHARE, MemoryBudget
+from .memory_budget import INCOMPLETE_FRAME_SHARE, REQUEST_BODY_SHARE, MemoryBudget
 from .open_request import Attempt, OpenRequest
 from .timers import Timers
 from .upstream import UpstreamOperation
@@ -89,6 +89,7 @@
         self.shutdown_deadline: int | None = None  # for all answers; None: not shutting down
         self.admission_deadline: int | None = None  # requests read after that are rejected at once
         self.request_bodies = MemoryBudget(config.limits.memory_mb, REQUEST_BODY_SHARE)
+        self.incomplete_frames = MemoryBudget(config.limits.memory_mb, INCOMPLETE_FRAME_SHARE)
         self.diagnostics = Diagnostics(self.clock)
         self.monitor = LoopMonitor(self.clock)
         self.clients = ClientRegistry(manager, self.clock)
@@ -162,9 +163,7 @@
 
     # Requests
 
-    def admit(
-        self, client: ClientConnection, message: client_wire.RequestFrame | client_wire.MalformedRequest
-    ) -> None:
+    def admit(self, client: ClientConnection, message: client_wire.RequestMessage) -> None:
         """Passes a request to the router, or answers it at once if it is invalid or too late in shutdown."""
         now = self.clock.now()
         if self.admission_deadline is not None and now > self.admission_deadline:
@@ -172,6 +171,9 @@
             self.event_log.record(EventKind.REQUEST_REJECTED, f"client {client.number}", "shutdown")
             client.connection.write(client_wire.answer(message.stream, client_wire.DENIED, {}))
             return
+        if isinstance(message, client_wire.DiscardedRequest):
+            self._reject_for_memory(client, message.stream)
+            return
         try:
             request = self._open_request(client, message)
         except ValueError as error:
@@ -180,24 +182,22 @@
             client.connection.write(client_wire.answer(message.stream, client_wire.ABORTED, {}, text))
             return
         if not self.request_bodies.reserve(len(request.body)):
-            self._reject_for_memory(client, request)
+            self._reject_for_memory(client, request.stream)
             return
         client.open_requests[request.stream] = self.requests[request.request_id] = request
         self.diagnostics.counters["requests"] += 1
         self.decision_loop.report_request(request.received, request.deadline)
 
-    def _reject_for_memory(self, client: ClientConnection, request: OpenRequest) -> None:
-        """Rejects a request whose body does not fit beside those of the open requests."""
+    def _reject_for_memory(self, client: ClientConnection, stream: int) -> None:
+        """Rejects a request that does not fit beside the open ones, or beside frames that are incomplete."""
         self.diagnostics.counters["requests_rejected_for_memory"] += 1
-        self.event_log.record(EventKind.REQUEST_REJECTED, request.request_id, "memory")
+        self.event_log.record(EventKind.REQUEST_REJECTED, f"client {client.number}", "memory")
         pause = min(MEMORY_RETRY_AFTER, self.config.deployment.max_retry_after)
         fields = _retry_after_fields(pause)
-        client.connection.write(client_wire.answer(request.stream, client_wire.DENIED, fields))
+        client.connection.write(client_wire.answer(stream, client_wire.DENIED, fields))
 
     def _open_request(
-        self,
-        client: ClientConnection,
-        message: client_wire.RequestFrame | client_wire.MalformedRequest,
+        self, client: ClientConnection, message: client_wire.RequestFrame | client_wire.MalformedRequest
     ) -> OpenRequest:
         """Parses a request and sets its deadline; raises `ValueError` if it is invalid."""
         if isinstance(message, client_wire.MalformedRequest):
@@ -369,6 +369,7 @@
         lag_ms = self.monitor.loop_lag / MILLISECOND
         open_now = f"open_requests={len(self.requests)} open_sockets={self.manager.open_sockets}"
         open_now += f" request_body_bytes_peak={self.request_bodies.peak}"
+        open_now += f" incomplete_frame_bytes_peak={self.incomplete_frames.peak}"
         return f"{self.diagnostics.summary()} {open_now} loop_lag_ms={lag_ms}"
 
     # Shutdown
--- a/ironhinge/net/memory_budget.py
+++ b/ironhinge/net/memory_budget.py
@@ -5,6 +5,7 @@
 from math import inf
 
 REQUEST_BODY_SHARE = 0.2  # of the memory limit, for the bodies of open requests
+INCOMPLETE_FRAME_SHARE = 0.15  # of the memory limit, for frames that have not arrived completely
 
 BYTES_PER_MB = 2**20
 
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 import anyio
@@ -62,6 +63,63 @@
     assert max(peaks) < MEMORY_MB
 
 
+def test_incomplete_frames_of_many_clients_do_not_take_the_director_over_its_memory_limit(tmp_path):
+    """Nothing bounded frames that have not arrived completely: 340 of the largest held nearly 100 MB."""
+    upstream = FakeUpstream(has_all_objects=True)
+    endpoints = [endpoint_config("s-00000001", upstream.address)]
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
+    config = configuration(endpoints, f"127.0.0.1:{free_port()}", limits=limits)
+    director = DirectorProcess(tmp_path, config)
+    peak_mb, codes = 0.0, Counter()
+    try:
+        clients = [FakeClient(director.port) for _ in range(340)]
+        frames = [client.encode_request(BODY) for client in clients]
+        for client, frame in zip(clients, frames, strict=True):
+            client.sock.sendall(frame[:-1])
+            peak_mb = max(peak_mb, resident_mb(director.process))
+        usual_client = FakeClient(director.port)
+        assert usual_client.read_answer(usual_client.send_request())[0] == client_wire.DONE
+        peak_mb = max(peak_mb, resident_mb(director.process))
+        for client, frame in zip(clients, frames, strict=True):
+            client.sock.sendall(frame[-1:])
+        codes.update(client.read_answer(client.stream)[0] for client in clients)
+    finally:
+        director.stop()
+    assert peak_mb < MEMORY_MB
+    assert codes[client_wire.DENIED] > codes[client_wire.DONE] > 0
+    assert codes.total() == len(clients)
+
+
+def test_frame_that_is_not_kept_is_read_to_its_end_and_becomes_a_rejection():
+    """Guards what follows it on its connection, whatever the pieces in which it arrives."""
+    fields = {"route": "film", "trace": TRACE, "patience": "9000", "entity": "7f3a9c21e0b4d655"}
+    request = client_wire.write_fields(fields)
+    data = b"".join(
+        client_wire.frame(client_wire.REQUEST, 1, request, bytes(50_000))
+        + client_wire.frame(client_wire.REQUEST, 2, request, b"body")
+        + client_wire.frame(client_wire.CANCEL, 1, bytes(50_000))
+        + client_wire.frame(client_wire.REQUEST, 3, request, bytes(9000))
+    )
+    for piece_size in (1, 3, 1000, 4097, 7919, 30_000):
+        budget = MemoryBudget(1, 0.01)  # 10,485 bytes
+        wire = client_wire.ClientWire(budget)
+        messages = []
+        for start in range(0, len(data), piece_size):
+            messages += wire.feed(memoryview(data)[start : start + piece_size])
+            assert budget.used <= budget.limit
+        assert messages == [
+            client_wire.DiscardedRequest(1),
+            client_wire.RequestFrame(2, fields, b"body"),
+            client_wire.RequestCancelled(1),
+            client_wire.RequestFrame(3, fields, bytes(9000)),
+        ]
+        assert (budget.used, wire.has_partial_frame()) == (0, False)
+    wire.feed(memoryview(data)[:9000])
+    assert budget.used == 9000
+    wire.clear()
+    assert budget.used == 0
+
+
 def test_request_whose_body_does_not_fit_is_rejected_with_a_pause_until_others_have_ended():
     """Guards the others: it is told at once to come back, and requests without a body are always let in."""
     second, third = TRACE[::-1], "0" * 16
