--- a/ironhinge/net/discovery_connection.py
+++ b/ironhinge/net/discovery_connection.py
@@ -38,7 +38,7 @@
         self.closed = anyio.Event()
         self.has_received = False
         self.last_received_at = clock.now()  # when connecting began or the last data arrived
-        self._frame_began_at = self.last_received_at  # when the latest frame began to arrive
+        self._frame_started_at = self.last_received_at  # when the latest frame began to arrive
         self.connection: Connection
         self._receiver = receiver
         self._clock = clock
@@ -54,7 +54,7 @@
         had_partial_frame = self._wire.has_partial_frame()
         updates, error = self._wire.feed(data)
         if updates or not had_partial_frame:
-            self._frame_began_at = self.last_received_at
+            self._frame_started_at = self.last_received_at
         for update in updates:
             self.has_received = True
             self._receiver.apply(update)
@@ -67,7 +67,7 @@
     def is_stalled(self, now: int) -> bool:
         """Returns whether the service is silent, or takes too long for a frame."""
         is_silent = now > self.last_received_at + SILENCE_TIMEOUT
-        return is_silent or (self._wire.has_partial_frame() and now > self._frame_began_at + FRAME_TIMEOUT)
+        return is_silent or (self._wire.has_partial_frame() and now > self._frame_started_at + FRAME_TIMEOUT)
 
     def on_closed(self, connection: Connection, end: AttemptEnd) -> None:
         """Wakes the task that waits for the end of the connection."""
