Soak: the platform's clock, slow discovery and times that coincide are drawn

`--draws 2` adds, by a generator of its own: steps of the clock that stamps purges, starts and copies, events that discovery writes in pieces, client timeouts by which two deadlines of an attempt coincide to the tick or differ by one. Recorded seeds stay as they are (`--draws 1`, the default). The report and the logs of a failed seed are kept by default; memory is judged against the limit.

--- a/benchmarks/planted_faults.py
+++ b/benchmarks/planted_faults.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).parent.parent
 COPIED_FOLDERS = ("ironhinge", "benchmarks")  # folders that a copy needs to run the soak
 SECONDS_PER_SEED = 7
+MIN_PLATFORM_SEEDS = 20  # for faults that only a part of the seeds can show
 TIMEOUT = 300  # seconds for all seeds of one fault
 LOG_EXCERPT = 1500  # last characters of the standard error of a soak without a result
 
@@ -43,14 +44,15 @@
     module: str  # path below `ironhinge/`
     original: str
     replacement: str
+    draws: int = 1  # version of the soak's draws
 
 
 FAULTS = (
     PlantedFault(
         "forgotten purge",
         "net/discovery.py",
-        "        self._listener.report(PurgeNotified(object_id, group, age))\n",
-        "        self._clock.seconds(age)\n",
+        "        self._listener.report(PurgeNotified(object_id, group, age=0))\n",
+        "",
     ),
     PlantedFault(
         "repeat of an unsafe request",
@@ -129,6 +131,35 @@
         "            body, self.last_body = getattr(self, 'last_body', answer.body), answer.body\n"
         "            self._owner.send_final_answer(request.request_id, client_wire.DONE, {}, body)\n",
     ),
+    PlantedFault(
+        "purge dated by its time stamp",
+        "net/discovery.py",
+        "PurgeNotified(object_id, group, age=0)",
+        "PurgeNotified(object_id, group, max(0, self._clock.unix_age(update.unix_ms)))",
+        draws=2,
+    ),
+    PlantedFault(
+        "start dated by its time stamp",
+        "net/discovery.py",
+        "upstream.record_start(started_unix_ms, self._clock.now())",
+        "upstream.record_start(started_unix_ms, self._clock.from_unix(started_unix_ms))",
+        draws=2,
+    ),
+    PlantedFault(
+        "deadline taken for the start deadline",
+        "net/attempts.py",
+        "        if operation.is_finished:\n            return\n        self._monitor",
+        "        if operation.is_finished or due == operation.start_deadline:\n            return\n"
+        "        self._monitor",
+        draws=2,
+    ),
+    PlantedFault(
+        "slow event given up",
+        "net/discovery_connection.py",
+        "        is_silent = now > self.last_received_at + SILENCE_TIMEOUT\n",
+        "        is_silent = now > self._frame_started_at + SILENCE_TIMEOUT\n",
+        draws=2,
+    ),
 )
 
 
@@ -174,7 +205,9 @@
             "-m",
             "benchmarks.soak",
             "--seeds",
-            str(seeds),
+            str(max(seeds, MIN_PLATFORM_SEEDS if fault.draws > 1 else 0)),
+            "--draws",
+            str(fault.draws),
             "--stop-at-first",
             "--json",
         ]
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,9 +1,10 @@
 """Runs the soak: real directors under faults for many seeds, each audited from clients' and servers' records.
 
-    python -m benchmarks.soak --seeds 50 [--first 1] [--seconds 8] [--jobs 3] [--busy 0] [--json]
+    python -m benchmarks.soak --seeds 50 [--first 1] [--seconds 8] [--jobs 3] [--busy 0] [--draws 1]
+        [--json]
 
-To run a failed seed again, use `--seeds 1 --first SEED`; `--logs FOLDER` keeps its directors' logs. The exit
-code is 1 if a rule was violated.
+To run a failed seed again, use `--seeds 1 --first SEED`. The report and the directors' logs of a failed seed
+are kept in the folder `--logs`. The exit code is 1 if a rule was violated.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import json
 import multiprocessing
 import sys
+import tempfile
 import time
 from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
@@ -21,15 +23,20 @@
 import click
 
 TOTALS = ("requests", "answered", "served", "attempts", "crossed")
+# versions of the draws; a later one adds to the earlier ones
+FIRST_DRAWS, PLATFORM_DRAWS = 1, 2
+DEFAULT_LOGS = str(Path(tempfile.gettempdir()) / "ironhinge-soak-logs")
 VIOLATIONS = ("lost", "duplicates", "late", "after_client_left", "broken_rules", "crashes")  # must be 0
 
 
-def _run_seed(seed: int, seconds: float, logs: str | None) -> dict[str, Any]:
+def _run_seed(seed: int, seconds: float, draws: int, logs: str) -> dict[str, Any]:
     """Run one seed and return its report; runs in a process of the pool."""
     from ironhinge.lab.soak.plan import draw_plan
+    from ironhinge.lab.soak.platform_draws import extend_plan
     from ironhinge.lab.soak.run import run_plan
 
-    return run_plan(draw_plan(seed, seconds), Path(logs) if logs else None)
+    plan = draw_plan(seed, seconds)
+    return run_plan(extend_plan(plan) if draws >= PLATFORM_DRAWS else plan, Path(logs) if logs else None)
 
 
 def _spin() -> None:
@@ -80,10 +87,19 @@
 @click.option(
     "--busy", type=click.IntRange(0), default=0, help="Number of processes that spin beside the seeds."
 )
+@click.option(
+    "--draws",
+    type=click.IntRange(FIRST_DRAWS, PLATFORM_DRAWS),
+    default=FIRST_DRAWS,
+    show_default=True,
+    help="Version of the draws; 2 adds steps of the platform's clock, slow discovery and coinciding times.",
+)
 @click.option(
     "--logs",
     type=click.Path(file_okay=False),
-    help="Keep the directors' logs of failed seeds in this folder.",
+    default=DEFAULT_LOGS,
+    show_default=True,
+    help="Keep the report and the directors' logs of failed seeds in this folder; empty: keep nothing.",
 )
 @click.option("--stop-at-first", is_flag=True, help="Start no further seeds after a failed one.")
 @click.option("--json", "as_json", is_flag=True, help="Print the totals as a JSON object on the last line.")
@@ -93,7 +109,8 @@
     seconds: float,
     jobs: int,
     busy: int,
-    logs: str | None,
+    draws: int,
+    logs: str,
     stop_at_first: bool,
     as_json: bool,
 ) -> None:
@@ -103,7 +120,7 @@
     failed = []
     with _busy_processes(busy), ProcessPoolExecutor(jobs) as pool:
         numbers = range(first, first + seeds)
-        for report in pool.map(_run_seed, numbers, [seconds] * seeds, [logs] * seeds):
+        for report in pool.map(_run_seed, numbers, *([each] * seeds for each in (seconds, draws, logs))):
             _print_seed(report)
             for name in totals:
                 totals[name] += report[name]
--- a/ironhinge/lab/soak/audit.py
+++ b/ironhinge/lab/soak/audit.py
@@ -72,6 +72,7 @@
     CRASH = "crash"
     NOT_READY = "not ready"
     DESCRIPTORS = "descriptors"
+    MEMORY = "memory"
     MALFORMED_COMMAND = "unreadable command"
 
 
@@ -347,6 +348,9 @@
         if incarnation.peak_descriptors > self.plan.descriptor_limit:
             used = f"{incarnation.peak_descriptors} descriptors, limit {self.plan.descriptor_limit}"
             self._add_finding(Rule.DESCRIPTORS, f"{name} had {used}")
+        if incarnation.peak_memory_mb > self.plan.memory_limit_mb:
+            used = f"{incarnation.peak_memory_mb:.0f} MB, limit {self.plan.memory_limit_mb}"
+            self._add_finding(Rule.MEMORY, f"{name} had {used}")
 
 
 def _start_time(request: RequestRecord) -> float:
--- a/ironhinge/lab/soak/clients.py
+++ b/ironhinge/lab/soak/clients.py
@@ -29,6 +29,10 @@
 SEND_AFTER_GOAWAY_SHARE = 0.5  # share of the idle clients that send a request after GOAWAY
 CANCEL_BY_FRAME_SHARE = 0.6  # share of cancellations by a CANCEL frame; the others end the connection
 RESET_SHARE = 0.5  # share of these connections that are reset, not closed
+COINCIDING_SHARE = 0.7  # share of the keyed requests whose deadline coincides with the end of a window
+KEYED_SHARE = 0.5  # share of the requests that are keyed, in seeds with such times
+TICK = 0.0001  # seconds: the resolution of client timeouts
+ATTEMPT_MARGIN = 0.004  # seconds: two batches, by which an attempt ends before its client's timeout
 TRACE_BITS = 64  # length of a trace ID
 
 
@@ -73,6 +77,7 @@
         self.records = records
         self.target = target
         self._rng = Random(plan.seed * 1000 + number)
+        self._platform_rng = Random(f"platform {plan.seed} {number}")  # for draws that were added later
         self.kind = CLIENT_KINDS[self._rng.randrange(len(CLIENT_KINDS))]
         self.path = plan.client_paths[self._rng.randrange(len(plan.client_paths))]
         self._connection: ClientConnection | None = None
@@ -221,10 +226,17 @@
         self.target.on_request_written()
 
     def _draw_class(self) -> RequestClass:
-        return self.plan.classes[self._rng.choice(CLASS_INDICES)]
+        drawn = self.plan.classes[self._rng.choice(CLASS_INDICES)]
+        if self.plan.has_coinciding_times and self._platform_rng.random() < KEYED_SHARE:
+            return next(each for each in self.plan.classes if each.idempotency is Idempotency.KEYED)
+        return drawn
 
     def _draw_client_timeout(self, request_class: RequestClass) -> float:
         draw = self._rng.random()
+        window = request_class.dedup_window
+        may_coincide = self.plan.has_coinciding_times and 0 < window < request_class.deadline
+        if may_coincide and self._platform_rng.random() < COINCIDING_SHARE:
+            return window + ATTEMPT_MARGIN + self._platform_rng.choice((-TICK, 0.0, 0.0, TICK))
         if draw < SHORT_TIMEOUT_SHARE:
             return self._rng.uniform(0.001, 0.06)
         if draw < MEDIUM_TIMEOUT_SHARE:
@@ -242,10 +254,12 @@
             operation = retried.operation
         client_timeout = self._draw_client_timeout(request_class)
         request = RequestRecord(trace, operation, request_class.name, connection.record, client_timeout)
+        is_exact = self.plan.has_coinciding_times
+        whole_ms = max(1, int(client_timeout * 1000))
         fields = {
             "route": request_class.name,
             "trace": trace,
-            "patience": str(max(1, int(client_timeout * 1000))),
+            "patience": f"{max(1.0, client_timeout * 1000):.1f}" if is_exact else str(whole_ms),
             "entity": operation,
             "part": "0",
             "group": str(int(operation, 16) % GROUPS),
--- a/ironhinge/lab/soak/director_config.py
+++ b/ironhinge/lab/soak/director_config.py
@@ -23,7 +23,6 @@
 
 STATUS_NAMES = ("SERVING", "DRAINING", "DELETED")  # indexed by NodeState
 LATENCY_TARGET = 200_000  # microseconds
-MEMORY_LIMIT_MB = 192
 
 
 def microseconds(seconds: float) -> int:
@@ -53,10 +52,14 @@
     """Return the purges within `PURGE_SETTLE_TIME`: nodes may still store copies that these purge."""
     since = time.time() - PURGE_SETTLE_TIME
     purges: list[dict[str, Any]] = [
-        {"ref": name, "unix_ms": int(at * 1000)} for name, at in fleet.purged_objects.items() if at > since
+        {"ref": name, "unix_ms": purge.stamp_ms}
+        for name, purge in fleet.purged_objects.items()
+        if purge.at > since
     ]
     purges += [
-        {"shard": group, "unix_ms": int(at * 1000)} for group, at in fleet.purged_groups.items() if at > since
+        {"shard": group, "unix_ms": purge.stamp_ms}
+        for group, purge in fleet.purged_groups.items()
+        if purge.at > since
     ]
     return purges
 
--- a/ironhinge/lab/soak/discovery.py
+++ b/ironhinge/lab/soak/discovery.py
@@ -16,6 +16,8 @@
 
 FIRST_NUMBER = 1  # number of the initial endpoint list; events are numbered from 2
 HEARTBEAT_INTERVAL = 1.0  # seconds between heartbeat events on a connection
+SLOW_POLL_INTERVAL = 0.2  # the same where events are written slowly, which looks for new ones as often
+PIECES_PER_EVENT = 13
 MOVED_GRACE = 1.5  # seconds that connections to the old address stay open after a move
 
 PURGE_EVENTS = {
@@ -37,7 +39,12 @@
     """Writes numbered events to all connections of one director."""
 
     def __init__(
-        self, records: Records, ports: PortAllocator, director: int, incarnation: Callable[[], int]
+        self,
+        records: Records,
+        ports: PortAllocator,
+        director: int,
+        incarnation: Callable[[], int],
+        event_write_time: float = 0.0,
     ) -> None:
         """Create a service that does not listen yet.
 
@@ -46,14 +53,17 @@
             ports: Allocates the ports to listen at.
             director: Number of the director.
             incarnation: Returns the number of the director's current process.
+            event_write_time: Seconds in which each event is written in pieces; 0: at once.
         """
         self.records = records
         self.ports = ports
         self.director = director
         self.incarnation = incarnation
         self.port = 0
+        self._event_write_time = event_write_time
         self._events: list[_Event] = []
         self._server: asyncio.Server | None = None
+        self._partly_written: set[int] = set()  # indices of events of which only a part was written
         self._writers: dict[asyncio.StreamWriter, int] = {}  # by connection: number of the last event written
 
     @property
@@ -115,6 +125,8 @@
 
     def _publish(self, data: bytes, kind: NotificationKind, target: str) -> None:
         self._events.append(_Event(data, kind, target, time.monotonic()))
+        if self._event_write_time:
+            return  # each connection writes it by itself
         for writer in list(self._writers):
             if not writer.is_closing():
                 self._write_new_events(writer)
@@ -123,27 +135,49 @@
         last_seen = self._writers[writer]
         for event in self._events[max(0, last_seen - FIRST_NUMBER) :]:
             writer.write(event.data)
-            self.records.notifications.append(
-                Notification(
-                    self.director,
-                    self.incarnation(),
-                    time.monotonic(),
-                    event.kind,
-                    event.target,
-                    event.happened_at,
-                )
-            )
+            self._record_notification(event)
         self._writers[writer] = self.last_number
 
+    def _record_notification(self, event: _Event) -> None:
+        notification = Notification(
+            self.director, self.incarnation(), time.monotonic(), event.kind, event.target, event.happened_at
+        )
+        self.records.notifications.append(notification)
+
+    async def _write_slowly(self, writer: asyncio.StreamWriter) -> None:
+        """Write the events that a connection lacks in pieces, over `event_write_time` seconds each.
+
+        An event that was written in part counts as notified as soon as the director asks for it again.
+        """
+        while self._writers.get(writer, self.last_number) < self.last_number:
+            index = self._writers[writer] - FIRST_NUMBER
+            event = self._events[index]
+            if index in self._partly_written:
+                self._record_notification(event)
+            self._partly_written.add(index)
+            size = -(-len(event.data) // PIECES_PER_EVENT)
+            for start in range(0, len(event.data), size):
+                writer.write(event.data[start : start + size])
+                await asyncio.sleep(self._event_write_time / PIECES_PER_EVENT)
+                if writer.is_closing():
+                    return
+            self._partly_written.discard(index)
+            self._record_notification(event)
+            if writer in self._writers:
+                self._writers[writer] += 1
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             (last_seen,) = struct.unpack(">Q", await reader.readexactly(8))
             self._writers[writer] = last_seen
             while writer in self._writers and not writer.is_closing():
-                self._write_new_events(writer)
-                number = self._writers[writer]
+                if self._event_write_time:
+                    await self._write_slowly(writer)
+                else:
+                    self._write_new_events(writer)
+                number = self._writers.get(writer, last_seen)
                 writer.write(wire.encode_event(number, wire.EventType.HEARTBEAT, b""))
-                await asyncio.sleep(HEARTBEAT_INTERVAL)
+                await asyncio.sleep(SLOW_POLL_INTERVAL if self._event_write_time else HEARTBEAT_INTERVAL)
         except (OSError, EOFError, asyncio.CancelledError):
             pass
         finally:
--- a/ironhinge/lab/soak/faults.py
+++ b/ironhinge/lab/soak/faults.py
@@ -10,7 +10,7 @@
 from .directors import Director
 from .plan import FaultEvent, FaultKind, Plan
 from .records import ColdStart, NotificationKind, Records
-from .servers import EDGE_ZONE, Fleet, Node, NodeKind, NodeState
+from .servers import EDGE_ZONE, Fleet, Node, NodeKind, NodeState, Purge
 
 DISCOVERY_DELAY = 0.2  # seconds until discovery publishes that a node was killed or started
 DRAIN_EXTRA = 1.0  # seconds that are added to the drawn duration of a drain
@@ -53,6 +53,8 @@
                 self._purge_object(event.target)
             case FaultKind.PURGE_GROUP:
                 self._purge_group(event.target)
+            case FaultKind.STEP_PLATFORM_CLOCK:
+                self.fleet.clock_offset += event.duration
             case _:
                 await self._apply_to_node(event, self.caches[event.target])
 
@@ -131,7 +133,7 @@
         await self._announce_cold_start(node)
 
     async def _announce_cold_start(self, node: Node) -> None:
-        node.since_ms = int(time.time() * 1000)
+        node.since_ms = self.fleet.stamp_ms(time.time())
         cold_start = ColdStart(node.name, time.monotonic())
         self.records.cold_starts.append(cold_start)
         await asyncio.sleep(DISCOVERY_DELAY)
@@ -155,15 +157,21 @@
 
     def _purge_object(self, number: int) -> None:
         name = f"{number:016x}"
-        self.fleet.purged_objects[name] = time.time()
-        self._publish_purge(NotificationKind.OBJECT_PURGED, name, number.to_bytes(8, "big"))
+        purge = self.fleet.purged_objects[name] = self._new_purge()
+        self._publish_purge(NotificationKind.OBJECT_PURGED, name, number.to_bytes(8, "big"), purge)
 
     def _purge_group(self, group: int) -> None:
-        self.fleet.purged_groups[group] = time.time()
-        self._publish_purge(NotificationKind.GROUP_PURGED, str(group), group.to_bytes(2, "big"))
+        purge = self.fleet.purged_groups[group] = self._new_purge()
+        self._publish_purge(NotificationKind.GROUP_PURGED, str(group), group.to_bytes(2, "big"), purge)
 
-    def _publish_purge(self, kind: NotificationKind, target: str, encoded_target: bytes) -> None:
-        data = encoded_target + int(time.time() * 1000).to_bytes(8, "big")
+    def _new_purge(self) -> Purge:
+        now = time.time()
+        return Purge(now, self.fleet.stamp_ms(now))
+
+    def _publish_purge(
+        self, kind: NotificationKind, target: str, encoded_target: bytes, purge: Purge
+    ) -> None:
+        data = encoded_target + purge.stamp_ms.to_bytes(8, "big")
         for director in self.directors:
             director.discovery.publish_purge(kind, target, data)
 
--- a/ironhinge/lab/soak/plan.py
+++ b/ironhinge/lab/soak/plan.py
@@ -83,6 +83,7 @@
     MOVE_DISCOVERY = "discovery moves"
     PURGE_OBJECT = "purge"
     PURGE_GROUP = "purge group"
+    STEP_PLATFORM_CLOCK = "platform clock step"
 
 
 # one is drawn, equally likely; RESTART_DIRECTOR is listed twice to double its share; None: no fault
@@ -123,7 +124,7 @@
     at: float  # seconds since the start of the load
     kind: FaultKind
     target: int = 0  # index of a director or cache, or number of an object or group
-    duration: float = 0.0  # seconds
+    duration: float = 0.0  # seconds; of a step of the clock: its size, negative if it is set back
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +160,9 @@
     unanswered_share: float  # executed and not answered
     fault_events: tuple[FaultEvent, ...] = ()
     node_weight: int = NODE_WEIGHTS[0]
+    memory_limit_mb: int = 192
+    event_write_time: float = 0.0  # seconds in which discovery writes each event in pieces; 0: at once
+    has_coinciding_times: bool = False  # client timeouts after which a deadline is the end of a window
 
 
 def _draw_injection_script(rng: Random) -> dict[str, Any]:
@@ -268,7 +272,7 @@
 
 
 def draw_plan(seed: int, seconds: float = 8.0) -> Plan:
-    """Return the plan of a seed for a run of `seconds` seconds."""
+    """Return the plan of a seed for a run of `seconds` seconds, by the first version of the draws."""
     rng = Random(seed)
     directors, caches = rng.choice([1, 2, 3]), rng.choice([2, 3, 5, 8])
     idle_connections = rng.choice([0, 0, 0, 150])
--- a/ironhinge/lab/soak/report.py
+++ b/ironhinge/lab/soak/report.py
@@ -17,6 +17,7 @@
     Rule.SLOW_START,
     Rule.DEADLINE,
     Rule.DESCRIPTORS,
+    Rule.MEMORY,
     Rule.NOT_READY,
     Rule.MALFORMED_COMMAND,
     Rule.UNKNOWN_REQUEST,
--- a/ironhinge/lab/soak/run.py
+++ b/ironhinge/lab/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import json
 import shutil
 import signal
 import tempfile
@@ -15,7 +16,7 @@
 from ..errors import DirectorStartError
 from .audit import Audit, AuditResult, Finding, Rule
 from .clients import Client, ClientTarget
-from .director_config import MEMORY_LIMIT_MB, known_updates, platform_settings
+from .director_config import known_updates, platform_settings
 from .directors import Director, time_to_kill
 from .discovery import Discovery
 from .faults import FaultInjector
@@ -30,6 +31,7 @@
 EXIT_TIMEOUT = 6.0  # seconds after SIGTERM in which a director without clients has to exit
 KILL_MARGIN = 0.3  # seconds for which clients go on sending after a kill
 FORCED_EXIT = -1  # exit code recorded for a director that did not exit within EXIT_TIMEOUT
+REPORT_FILE = "report.json"
 LOG_EXCERPT = 500  # last characters of each log that an error message shows
 
 
@@ -85,7 +87,9 @@
     async def _start_discovery_and_proxies(self, director: Director) -> None:
         """Start a director's discovery service, and the proxies between the director and its clients."""
         ports = self.fleet.ports
-        discovery = Discovery(self.records, ports, director.number, director.current_incarnation)
+        discovery = Discovery(
+            self.records, ports, director.number, director.current_incarnation, self.plan.event_write_time
+        )
         await discovery.start()
         self.discoveries.append(discovery)
         for index, path in enumerate(self.plan.client_paths):
@@ -108,7 +112,11 @@
             "name": f"n{director.number}",
             "listen": f"127.0.0.1:{director.port}",
             "seed": f"{self.plan.seed * 1000 + director.number * 10 + director.incarnation:016x}",
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": self.plan.descriptor_limit},
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.plan.memory_limit_mb,
+                "sockets": self.plan.descriptor_limit,
+            },
             "known": updates,
             "coordinator": f"127.0.0.1:{director.discovery.port}",
             "settings": platform_settings(self.plan),
@@ -228,7 +236,7 @@
 
     Args:
         plan: The plan to run.
-        log_folder: Folder to which the directors' logs are copied if the audit has findings.
+        log_folder: Folder for the report and the directors' logs if the audit has findings.
 
     Raises:
         DirectorStartError: A director did not become ready at the start.
@@ -238,7 +246,9 @@
         audit_result = asyncio.run(run.execute())
         report = build_report(plan, run.records, audit_result)
         if log_folder is not None and audit_result.findings:
-            shutil.copytree(run.folder, log_folder / str(plan.seed), dirs_exist_ok=True)
+            folder = log_folder / str(plan.seed)
+            shutil.copytree(run.folder, folder, dirs_exist_ok=True)
+            (folder / REPORT_FILE).write_text(json.dumps(report, indent=1))
         return report
     finally:
         run.remove_folder()
--- a/ironhinge/lab/soak/servers.py
+++ b/ironhinge/lab/soak/servers.py
@@ -9,6 +9,7 @@
 import time
 from enum import IntEnum
 from random import Random
+from typing import NamedTuple
 
 from ..ports import PortAllocator
 from . import wire
@@ -53,6 +54,20 @@
     NO_TEXT = b"-"  # placeholder in the text field of an answer without text
 
 
+class StoredCopy(NamedTuple):
+    """A copy of a part of an object."""
+
+    issued_at: float  # Unix time, by a clock that is never stepped
+    stamp_ms: int  # the same by the platform's clock
+
+
+class Purge(NamedTuple):
+    """A purge of an object or a group."""
+
+    at: float  # Unix time, by a clock that is never stepped
+    stamp_ms: int  # the same by the platform's clock
+
+
 class Node:
     """A cache node, a parent or the origin."""
 
@@ -67,7 +82,7 @@
         self.hanging = False  # while set, commands are recorded but not answered
         self.state = NodeState.READY
         self.since_ms = 0  # Unix milliseconds of its last cold start
-        self.copies: dict[tuple[str, str], float] = {}  # by object and part: Unix time of issue
+        self.copies: dict[tuple[str, str], StoredCopy] = {}  # by object and part
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -187,26 +202,26 @@
         key = fields["obj"], fields.get("seg", "0")
         class_max_age = self.fleet.freshness_lifetime[fields["kind"]]
         max_age = float(fields.get("accept", "0")) / 1000 or class_max_age or UNLIMITED_AGE
-        issued_at = self._stored_copy(key)
-        if issued_at is not None and issued_at >= now - max_age:
+        copy = self._stored_copy(key)
+        if copy is not None and copy.issued_at >= now - max_age:
             cache_status = b"h"
         else:
             if self.kind == NodeKind.CACHE and "parent" not in fields:
                 return AnswerStatus.MISSING, AnswerStatus.NO_TEXT, b""
-            cache_status, issued_at = b"f", now
+            cache_status, copy = b"f", StoredCopy(now, self.fleet.stamp_ms(now))
             if fields.get("shelf", "0") != "0" or self.kind == NodeKind.PARENT:
-                self.copies[key] = issued_at
-        issued_ms = int(issued_at * 1000)
-        text = b"res=%b,digest=4b%x,dated=%d,gauges=busy:0.3;rif:1" % (cache_status, issued_ms, issued_ms)
-        return AnswerStatus.DONE, text, self.fleet.body(key[0], issued_at)
-
-    def _stored_copy(self, key: tuple[str, str]) -> float | None:
-        """Return when the stored copy was issued; None if there is none, or a settled purge evicts it now."""
-        issued_at = self.copies.get(key)
-        if issued_at is not None and issued_at < self.fleet.purged_before(key[0]):
+                self.copies[key] = copy
+        stamp_ms = copy.stamp_ms
+        text = b"res=%b,digest=4b%x,dated=%d,gauges=busy:0.3;rif:1" % (cache_status, stamp_ms, stamp_ms)
+        return AnswerStatus.DONE, text, self.fleet.body(key[0], copy.issued_at)
+
+    def _stored_copy(self, key: tuple[str, str]) -> StoredCopy | None:
+        """Return the stored copy; None if there is none, or a settled purge evicts it now."""
+        copy = self.copies.get(key)
+        if copy is not None and copy.issued_at < self.fleet.purged_before(key[0]):
             del self.copies[key]
             return None
-        return issued_at
+        return copy
 
 
 class Fleet:
@@ -225,12 +240,19 @@
             each.name for each in plan.classes if each.idempotency != Idempotency.IDEMPOTENT
         }
         self.freshness_lifetime = {each.name: each.freshness_lifetime for each in plan.classes}
-        self.purged_objects: dict[str, float] = {}  # by object: Unix time of the last purge
-        self.purged_groups: dict[int, float] = {}
+        self.purged_objects: dict[str, Purge] = {}  # the last purge by object
+        self.purged_groups: dict[int, Purge] = {}
+        self.clock_offset = (
+            0.0  # seconds by which the clock was stepped that stamps purges, starts and copies
+        )
         self.malformed_commands: list[str] = []
         # by operation and deduplication scope: time of the execution that starts the window
         self._first_executions: dict[tuple[str, str], float] = {}
 
+    def stamp_ms(self, at: float) -> int:
+        """Return the time stamp of a Unix time, in milliseconds by the platform's clock as it is now."""
+        return int((at + self.clock_offset) * 1000)
+
     def add(self, kind: NodeKind, zone: int) -> Node:
         """Return a new node that does not listen yet."""
         node = Node(self, len(self.nodes) + 1, kind, zone)
@@ -262,8 +284,9 @@
     def purged_before(self, object_name: str) -> float:
         """Return the time of the last settled purge of an object or its group; older copies are evicted."""
         now, group = time.time(), int(object_name, 16) % GROUPS
-        purges = (self.purged_objects.get(object_name, 0.0), self.purged_groups.get(group, 0.0))
-        return max((at for at in purges if at < now - PURGE_SETTLE_TIME), default=0.0)
+        purges = (self.purged_objects.get(object_name), self.purged_groups.get(group))
+        settled = [each.at for each in purges if each is not None and each.at < now - PURGE_SETTLE_TIME]
+        return max(settled, default=0.0)
 
     def is_repeat(self, class_name: str, operation: str, node: Node) -> bool:
         """Return whether a keyed operation was executed within its window in the node's deduplication scope.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,8 @@
 from ironhinge.lab.errors import MalformedCommandError
 from ironhinge.lab.ports import PortAllocator
 from ironhinge.lab.soak.audit import Audit
-from ironhinge.lab.soak.plan import draw_plan
+from ironhinge.lab.soak.plan import FaultKind, draw_plan
+from ironhinge.lab.soak.platform_draws import extend_plan
 from ironhinge.lab.soak.records import (
     AnswerCode,
     AnswerRecord,
@@ -261,6 +262,44 @@
     assert not total["failed_seeds"]
 
 
+def test_a_few_seeds_with_the_platform_draws_pass():
+    """Steps of the platform's clock, slow discovery, coinciding times: none was drawn before."""
+    command = [sys.executable, "-m", "benchmarks.soak", "--draws", "2", "--seeds", "4", "--first", "5"]
+    command += ["--seconds", "7", "--jobs", str(JOBS), "--json"]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stderr[-4000:]
+    assert json.loads(done.stdout.splitlines()[-1])["requests"] > 400
+
+
+def test_platform_draws_add_to_a_plan_and_leave_its_other_draws():
+    """Guards recorded seeds: what was drawn for them before stays as it was."""
+    plans = [draw_plan(seed) for seed in range(40)]
+    extended = [extend_plan(plan) for plan in plans]
+    assert extended == [extend_plan(plan) for plan in plans]
+    kept_fields = ("director_count", "cache_count", "client_paths", "injection_scripts", "node_weight")
+    for plan, more in zip(plans, extended, strict=True):
+        assert all(getattr(plan, name) == getattr(more, name) for name in kept_fields)
+        assert set(plan.fault_events) <= set(more.fault_events)
+    steps = [
+        event.duration
+        for plan in extended
+        for event in plan.fault_events
+        if event.kind is FaultKind.STEP_PLATFORM_CLOCK
+    ]
+    assert min(steps) < -3000
+    assert max(steps) > 3000
+    assert any(plan.event_write_time for plan in extended)
+    coinciding = [plan for plan in extended if plan.has_coinciding_times]
+    assert coinciding
+    assert all(plan.classes[2].dedup_window < plan.classes[2].deadline for plan in coinciding)
+
+
+def test_memory_over_the_limit_of_the_plan_is_a_violation():
+    records, _, _ = recorded_request()
+    records.incarnations[0].peak_memory_mb = PLAN.memory_limit_mb + 1
+    assert broken_rules(records) == {"memory"}
+
+
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
 def test_each_planted_fault_still_matches_the_source(fault, tmp_path):
     """Guards `benchmarks.planted_faults`, which checks the soak itself but is run only by hand."""
