Retries: no rejection so late that the client's repeat runs a second time

Cause: is_safe_to_repeat compared the window with the moment of the rejection, not with the arrival of the repeat.

Change: the pause, and 0.65 s for the network and the client, have to fit into the window; else the request fails. Decisions change in these cases only.

--- a/ironhinge/routing/final_answers.py
+++ b/ironhinge/routing/final_answers.py
@@ -15,8 +15,8 @@
     The retry delay of a rejection ends while the latency target can still be met, or when the fill budget is
     expected to allow the fill that it did not allow now, if that is later.
     """
-    if not is_safe_to_repeat(now, request):
-        return FailRequest(request.id)
     slack = max(0, request.target_at - now - request.transfer_time)
-    retry_after = max(int(RETRY_AFTER_SHARE * slack), request.fill_budget_wait)
-    return RejectRequest(request.id, min(max_retry_after, retry_after))
+    retry_after = min(max_retry_after, max(int(RETRY_AFTER_SHARE * slack), request.fill_budget_wait))
+    if not is_safe_to_repeat(now, request, retry_after):
+        return FailRequest(request.id)
+    return RejectRequest(request.id, retry_after)
--- a/ironhinge/routing/retries.py
+++ b/ironhinge/routing/retries.py
@@ -12,6 +12,10 @@
 
 ATTEMPT_TIME_MULTIPLE = 1.5  # time reserved for a further attempt, in transfer times of the request
 
+# Ticks from a rejection to the arrival of the client's repeat at an upstream: each direction of the network
+# may take 0.3 s.
+MAX_REPEAT_DELAY = 6500
+
 
 def may_retry_on(now: int, request: RequestState, upstream: Upstream) -> bool:
     """Returns whether the request can be sent to the upstream without a risk that it takes effect twice."""
@@ -29,13 +33,17 @@
     return scope == DedupScope.ALL
 
 
-def is_safe_to_repeat(now: int, request: RequestState) -> bool:
-    """Returns whether the client may send the request again without a second effect, to any upstream."""
+def is_safe_to_repeat(now: int, request: RequestState, retry_after: int) -> bool:
+    """Returns whether a client that waits `retry_after` may repeat the request without a second effect.
+
+    Its repeat, to any upstream, has to arrive while upstreams remember the request's idempotency key.
+    """
     definition, first = request.request_class.definition, request.possibly_run_attempt
     if first is None or request.request_class.is_idempotent:
         return True
     is_deduplicated = definition.idempotency == Idempotency.KEYED and definition.dedup_scope == DedupScope.ALL
-    return is_deduplicated and now < first.sent_at + definition.dedup_window
+    repeated_at = now + retry_after + MAX_REPEAT_DELAY
+    return is_deduplicated and repeated_at < first.sent_at + definition.dedup_window
 
 
 def attempt_deadline(now: int, request: RequestState, min_batch_interval: int) -> int:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,6 +8,7 @@
 from ironhinge.routing.eligibility import Eligibility
 from ironhinge.routing.hashing import RendezvousHasher, score
 from ironhinge.routing.request_state import RequestState
+from ironhinge.routing.retries import MAX_REPEAT_DELAY
 from ironhinge.routing.upstream_registry import UpstreamRegistry
 
 from .helpers import CACHES, attempt_finished, new_deployment, new_endpoint, new_router, request_received
@@ -467,3 +468,15 @@
     )
     (command,) = router.handle(100, attempt_finished(first, "reset"))
     assert type(command) is interface.FailRequest
+
+
+@pytest.mark.parametrize(("ended_after", "is_rejected"), [(100, True), (5000, False), (8990, False)])
+def test_request_is_not_rejected_so_late_that_its_repeat_would_run_twice(ended_after, is_rejected):
+    """A rejection says that a repeat is harmless: a client's repeat arrived when its key was forgotten."""
+    router = new_router(new_deployment(max_attempts=1))
+    first = router.handle(1000, request_received("a", class_index=2))[0]
+    window = router.deployment.request_classes[2].dedup_window
+    (answer,) = router.handle(1000 + ended_after, attempt_finished(first, "reset"))
+    assert (type(answer) is interface.RejectRequest) is is_rejected
+    if is_rejected:
+        assert 1000 + ended_after + answer.retry_after + MAX_REPEAT_DELAY < 1000 + window
