--- a/ironhinge/lab/soak/platform_draws.py
+++ b/ironhinge/lab/soak/platform_draws.py
@@ -9,6 +9,7 @@
 import dataclasses
 from random import Random
 
+from .discovery import MAX_EVENT_DELAY
 from .plan import FaultEvent, FaultKind, Idempotency, Plan, RequestClass
 
 PLATFORM_SEED_OFFSET = 0xC10C
@@ -29,7 +30,8 @@
         events += _draw_clock_step(rng, plan)
     changes: dict[str, object] = {}
     if rng.random() < SLOW_DISCOVERY_SHARE:
-        changes["event_write_time"] = EVENT_WRITE_TIME
+        # a drain that is not read to its end counts as notified before the load ends
+        changes.update(event_write_time=EVENT_WRITE_TIME, seconds=plan.seconds + MAX_EVENT_DELAY / 2)
         events.append(FaultEvent(rng.uniform(0.5, 1.5), FaultKind.DRAIN_NODE, 0, plan.seconds))
     if rng.random() < COINCIDENCE_SHARE:
         changes.update(
