--- a/ironhinge/lab/soak/audit.py
+++ b/ironhinge/lab/soak/audit.py
@@ -13,17 +13,13 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
-from math import sqrt
 
 from .plan import (
     DRAIN_GRACE,
     GROUPS,
     PURGE_GRACE,
     SLOW_START_DURATION,
-    SLOW_START_MULTIPLE,
-    SLOW_START_SHARE,
     SLOW_START_WINDOW,
-    TRANSFER_RATE,
     Idempotency,
     Plan,
 )
@@ -39,6 +35,7 @@
     Records,
     RequestRecord,
 )
+from .slow_start_limit import slow_start_limit
 
 # seconds
 SLACK = 0.05  # every time limit is extended by 50 ms
@@ -51,9 +48,6 @@
 LAG_WINDOW = 0.3  # a lag of the recording process applies to times less than 0.3 s from its measurement
 CLOCK_RESOLUTION = 0.002  # resolution of the time of issue that a copy contains
 
-MEAN_SIZE = 187.0  # KB: the mean of the sizes that clients draw
-NORMAL_APPROXIMATION_MIN = 30  # expected commands from which a Poisson count is approximately normal
-
 
 class Rule(StrEnum):
     """Rules that a run must not violate; reports contain the values."""
@@ -324,7 +318,7 @@
             if arrival.node == cold_start.node and started_at <= arrival.at < started_at + SLOW_START_DURATION
         )
         for index, at in enumerate(times):
-            limit = _slow_start_limit(at - started_at, self.plan.node_weight)
+            limit = slow_start_limit(at - started_at, self.plan.node_weight)
             count = index + 1 - bisect_left(times, at - SLOW_START_WINDOW)
             if count > limit:
                 text = (
@@ -386,17 +380,3 @@
             return event.target == str(int(request.operation, 16) % GROUPS)
         case _:
             return False
-
-
-def _slow_start_limit(age: float, node_weight: float) -> float:
-    """Return the maximum number of commands in a window that ends `age` seconds after a cold start.
-
-    This is the allowed mean of a Poisson count plus two standard deviations and 2; below
-    `NORMAL_APPROXIMATION_MIN`, plus three standard deviations and 3.
-    """
-    share = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * min(1.0, age / SLOW_START_DURATION)
-    mean_seconds = MEAN_SIZE / TRANSFER_RATE
-    allowed = SLOW_START_MULTIPLE * share * node_weight * SLOW_START_WINDOW / mean_seconds
-    if allowed >= NORMAL_APPROXIMATION_MIN:
-        return allowed + 2 * sqrt(allowed) + 2
-    return allowed + 3 * sqrt(allowed) + 3
