Discovery: a purge of a reload is known again by what it names, not its index

A file may number its purges otherwise than the service does; a purge that is not in the file could have been passed over for its index.

--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 from loguru import logger
@@ -41,6 +41,18 @@
 MAX_WRITE_INTERVAL_MS = 1000  # longest interval between two frames of the service
 
 
+class PurgeIdentity(NamedTuple):
+    """What a purge names: the same in a configuration and in the event, whatever index it has there."""
+
+    object_id: int | None
+    group: int
+    unix_ms: int
+
+
+def _identity(update: PurgeUpdate) -> PurgeIdentity:
+    return PurgeIdentity(update.object_id, update.group, update.unix_ms)
+
+
 class DiscoveryListener(Protocol):
     """Receives the discovery events."""
 
@@ -79,7 +91,7 @@
         self._clock = clock
         self._listener = listener
         self._reloaded_list_index = 0  # of the last event that the endpoint list of a reload includes
-        self._reloaded_purges: set[int] = set()  # indices of purges of a reload that have not arrived yet
+        self._reloaded_purges: set[PurgeIdentity] = set()  # those of a reload that have not arrived yet
         self._caught_up_at = clock.now()  # all events up to this instant have been received
 
     def set_caught_up(self, now: int) -> None:
@@ -101,8 +113,8 @@
             return
         self.last_index = update.event_index
         if isinstance(update, PurgeUpdate):
-            if update.event_index in self._reloaded_purges:
-                self._reloaded_purges.discard(update.event_index)
+            if _identity(update) in self._reloaded_purges:
+                self._reloaded_purges.discard(_identity(update))
             else:
                 self._apply_purge(update)
         elif update.event_index > self._reloaded_list_index:
@@ -122,8 +134,8 @@
         for update in config.known:
             if isinstance(update, EndpointListUpdate):
                 self._apply_list(update)
-            elif update.event_index > self.last_index and update.event_index not in self._reloaded_purges:
-                self._reloaded_purges.add(update.event_index)
+            elif update.event_index > self.last_index and _identity(update) not in self._reloaded_purges:
+                self._reloaded_purges.add(_identity(update))
                 self._apply_purge(update)
         self._reloaded_list_index = config.known_index
         logger.info("config_events_applied index={}", config.known_index)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -51,15 +51,17 @@
     async def scenario(director, client, wait_until):
         discovery = director.discovery
         (full_list,) = director.config.known
-        older_purge = purge._replace(event_index=1)
+        older_purge = purge._replace(event_index=1, unix_ms=purge.unix_ms - 1)
         reloaded = director.config._replace(known=(full_list, older_purge, purge), known_index=3)
         discovery.apply_config(reloaded)
-        discovery.apply(EndpointListUpdate(2, False, ()))
+        other_purge = purge._replace(event_index=2, object_id=OBJECT_ID + 1)
+        discovery.apply(other_purge)  # not in the file, whatever stands there with its index
         discovery.apply(purge)
         discovery.apply(purge._replace(event_index=4))
 
     run_director(fake_router, scenario)
-    assert len(fake_router.events_of(interface.PurgeNotified)) == 2
+    purged = [event.object_id for event in fake_router.events_of(interface.PurgeNotified)]
+    assert purged == [OBJECT_ID, OBJECT_ID + 1, OBJECT_ID]
 
 
 def answer_stamped(at_ms):
