--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -54,10 +54,10 @@
         older_purge = purge._replace(event_index=1, unix_ms=purge.unix_ms - 1)
         reloaded = director.config._replace(known=(full_list, older_purge, purge), known_index=3)
         discovery.apply_config(reloaded)
-        other_purge = purge._replace(event_index=2, object_id=OBJECT_ID + 1)
-        discovery.apply(other_purge)  # not in the file, whatever stands there with its index
-        discovery.apply(purge)
+        other_purge = purge._replace(event_index=3, object_id=OBJECT_ID + 1)
+        discovery.apply(other_purge)  # not in the file, where its index is that of another purge
         discovery.apply(purge._replace(event_index=4))
+        discovery.apply(purge._replace(event_index=5))
 
     run_director(fake_router, scenario)
     purged = [event.object_id for event in fake_router.events_of(interface.PurgeNotified)]
