--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -47,6 +47,9 @@
     return frame(7, stream, bytes([len(values)]) + encoded + body)
 
 
+READINESS_QUERIES = frame(1, 0, b"\0") * 5000
+
+
 def output_of(crowd):
     """Returns what a client of the crowd writes on its connection."""
     if crowd is Crowd.SILENT:
@@ -60,7 +63,7 @@
     if crowd is Crowd.FIELDS:
         short_fields = {f"f{i:03x}": "v" for i in range(243)}
         return b"".join(request(stream, **short_fields) for stream in range(1, OPEN_REQUESTS + 1))
-    return b"".join(frame(1, 0, b"\0") for _ in range(100_000))
+    return READINESS_QUERIES
 
 
 class CrowdClient:
@@ -77,9 +80,11 @@
 
     def write(self, now):
         """Writes the next piece, if it is due; returns False if the connection has ended."""
+        if not self.output and self.crowd is Crowd.UNREAD:
+            self.output = memoryview(READINESS_QUERIES)
         if not self.output or now < self.next_write:
             return True
-        self.next_write = now + SLOW_INTERVAL
+        self.next_write = now + (SLOW_INTERVAL if self.crowd is Crowd.SLOW else 0)
         try:
             self.output = self.output[self.sock.send(self.output[: self.piece_size]) :]
         except BlockingIOError:
--- /dev/null
+++ b/tests/test_departed_clients.py
@@ -0,0 +1,100 @@
+"""Clients that leave with much unread, and ids that come again after their client has left."""
+
+import socket
+import time
+
+import anyio
+import pytest
+
+from ironhinge.config import Address
+from ironhinge.net.client_connection import ClientConnection
+from ironhinge.net.socket_calls import listen
+from ironhinge.routing import Router
+
+from .client_crowds import frame, request
+from .helpers import (
+    DirectorProcess,
+    FakeClient,
+    FakeUpstream,
+    configuration,
+    endpoint_config,
+    free_port,
+    reset_connection,
+    served_answer,
+)
+from .test_director import run_director
+
+REQUESTS = 32
+ANSWER_DELAY = 0.5  # seconds
+CLIENT_TIMEOUT_MS = "3000"
+
+
+def leave(client, way):
+    """Ends the wait for the request on stream 1: by a cancellation, an orderly close or a reset."""
+    if way == "cancel":
+        client.sock.sendall(frame(9, 1))
+    elif way == "close":
+        client.sock.close()
+    else:
+        reset_connection(client.sock)
+
+
+@pytest.mark.parametrize("body_size", [2000, 20_000])
+@pytest.mark.parametrize("way", ["close", "reset"])
+def test_no_request_is_sent_whose_client_has_left_with_much_unread(way, body_size):
+    """The end of a client stands behind all that it has written; its requests were sent before it was read."""
+    upstream = FakeUpstream(has_all_objects=True)
+    data = b"".join(request(stream, bytes(body_size)) for stream in range(1, REQUESTS + 1))
+
+    async def scenario(director, client, wait_until):
+        listener = listen(Address("127.0.0.1", 0))
+        with socket.socket() as peer:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(data))
+            peer.connect(listener.getsockname())
+            peer.sendall(data)
+            if way == "close":
+                peer.close()
+            else:
+                reset_connection(peer)
+        await anyio.sleep(0.01)
+        director.manager.adopt(listener.accept()[0], ClientConnection(director))
+        await wait_until(lambda: not director.clients and not director.requests)
+        await anyio.sleep(0.05)
+
+    run_director(Router, scenario, (upstream, upstream))
+    assert not upstream.request_ids
+
+
+@pytest.mark.parametrize("pause", [0, 0.02, 0.2, 1])
+@pytest.mark.parametrize("way", ["cancel", "close", "reset"])
+def test_id_of_a_request_that_may_have_run_does_not_run_again(tmp_path, way, pause):
+    """An id that came again after its client had left was forgotten, and its effect took place twice."""
+
+    def answer_late(command):
+        if command[0] == "want":
+            time.sleep(ANSWER_DELAY)
+            return served_answer(command[1], b"done")
+        return None
+
+    cache, origin = FakeUpstream(answer_late), FakeUpstream()
+    endpoints = [
+        endpoint_config("s-00000001", cache.address),
+        endpoint_config("s-00000002", origin.address, kind="origin"),
+    ]
+    director = DirectorProcess(tmp_path, configuration(endpoints, f"127.0.0.1:{free_port()}"))
+    sent = {"request_id": f"{0xABC0:016x}", "request_class": "order", "patience": CLIENT_TIMEOUT_MS}
+    try:
+        first, again = FakeClient(director.port), FakeClient(director.port)
+        first.sock.sendall(request(1, **sent))
+        cache.next_command()
+        leave(first, way)
+        time.sleep(pause)
+        again.sock.sendall(request(1, redo="1", **sent))
+        code, _, _ = again.read_answer(1)
+        log = director.log_text()
+    finally:
+        director.stop()
+    executions = [command for command in cache.commands.queue if command[0] == "want"]
+    assert not executions
+    assert code == 3  # a failure: a rejection would say that it may be sent again
+    assert "Traceback" not in log
