Connections: one that waits holds no buffer

What callers saw: processes over their memory limit under hundreds of connections, used or not. Cause: two rings, 40 KB, from the accept on; the inbound one held nothing between two reads, as each read is passed on whole. Now all connections read into one buffer of their owner, and an output ring is lent while output waits. The platform group's one ring a direction is given up for input; the output ring stays, while it has bytes.

--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -1,4 +1,6 @@
-"""One TCP connection: reads into a ring buffer, ends in one way, and writes as a `FrameWriter`.
+"""One TCP connection: reads into the buffer of its owner, ends in one way, and writes as a `FrameWriter`.
+
+All that is read is passed on at once, so a connection that waits holds no input.
 
 A connection never interprets the bytes: it passes data, and the end of the connection, to its `Receiver`. An
 error in its tasks closes this connection only. `ConnectionOwner` is the interface of its owner.
@@ -18,7 +20,6 @@
 from .connection_protocols import NULL_RECEIVER, ConnectionOwner, NullReceiver, Receiver
 from .frame import Frame, Pieces
 from .frame_writer import FrameWriter
-from .ring_buffer import RingBuffer
 from .system_calls import Remedy
 
 __all__ = ["NULL_RECEIVER", "Connection", "ConnectionOwner", "Frame", "NullReceiver", "Pieces", "Receiver"]
@@ -28,16 +29,13 @@
 DISCARD_INTERVAL = 0.01  # seconds between reads of data that is discarded
 MAX_EMPTY_AGE = 0.03  # seconds; if a connection was last known to be empty earlier, a short read is repeated
 
-EMPTY_BUFFER = RingBuffer(0)
-
 
 class Connection(FrameWriter):
-    """One connection; owns its socket, its buffers and its tasks."""
+    """One connection; owns its socket, its output buffer and its tasks."""
 
-    def __init__(self, owner: ConnectionOwner, receiver: Receiver, inbound_size: int, outbound_size: int):
+    def __init__(self, owner: ConnectionOwner, receiver: Receiver, outbound_size: int):
         super().__init__(owner, outbound_size)
         self.receiver = receiver
-        self.inbound = RingBuffer(inbound_size)
         self.is_receiving = False  # the receiver's `on_data` is running
         self.discarded_bytes = 0  # bytes that arrived after `finish`
         self.last_received_at = 0.0  # when data last arrived, in monotonic seconds
@@ -82,8 +80,8 @@
         self._count_queued(-self.queued_bytes)
         self.pending_frames.clear()
         self.buffered_frames.clear()
-        # frees the buffers and breaks the reference cycle without waiting for the garbage collector
-        self.inbound = self.outbound = EMPTY_BUFFER
+        # frees the buffer and breaks the reference cycle without waiting for the garbage collector
+        self._release_ring()
         self.receiver = NULL_RECEIVER
 
     def _release_socket(self) -> None:
@@ -189,9 +187,8 @@
         Returns the number of bytes read, and DONE, or the remedy that says why there are none.
         """
         assert self.sock is not None
-        ring = self.inbound
         began_at = monotonic()
-        buffer = ring.writable()
+        buffer = self.owner.read_buffer
         self.last_read_size = len(buffer)
         count, remedy = self.owner.calls.receive(self.sock, buffer)
         if remedy is Remedy.WAIT:
@@ -206,13 +203,11 @@
             self.discarded_bytes += count
             return count, remedy
         self.last_received_at = monotonic()
-        ring.commit_write(count)
         self.is_receiving = True
         try:
-            self.receiver.on_data(self, ring.readable())
+            self.receiver.on_data(self, buffer[:count])
         finally:
             self.is_receiving = False
-            ring.consume(count)
         return count, remedy
 
     async def run_task(self, work: Callable[[], Awaitable[None]], scope: anyio.CancelScope) -> None:
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -21,14 +21,16 @@
 from .attempt_end import AttemptEnd
 from .connection import Connection, Receiver
 from .descriptor_budget import DescriptorBudget
+from .ring_buffer import RingPool
 from .socket_calls import SocketCalls
 from .system_calls import Backoff, Call, Remedy
 from .timed_selector import TimedSelector
 
 __all__ = ["ConnectionManager", "DescriptorReclaimer"]
 
-COMMAND_BUFFER_BYTES = 8 * 1024  # ring size of the direction that carries requests and commands
-BODY_BUFFER_BYTES = 32 * 1024  # ring size of the direction that carries the bodies of answers
+READ_BUFFER_BYTES = 64 * 1024  # the most that is read at once
+COMMAND_BUFFER_BYTES = 8 * 1024  # size of the ring for commands to upstreams
+ANSWER_BUFFER_BYTES = 32 * 1024  # size of the ring for answers to clients
 QUEUED_MEMORY_SHARE = 0.25  # share of the memory limit that output queued for slow readers may use
 SOCKET_RELEASE_TURNS = 3  # turns of the event loop in which a closed connection releases its socket
 # Seconds; after a longer wait in the backlog, the system is asked for the age of a connection's data.
@@ -74,6 +76,8 @@
         self.on_call_failed: Callable[[Call, str, Remedy], None] = _ignore_call_failure
         self.calls = SocketCalls(lambda call, error, remedy: self.on_call_failed(call, error, remedy))
         self.shed_idle: Callable[[], None] = _close_nothing
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
+        self.rings = RingPool()
         self.queued_bytes = 0
         self.queued_bytes_limit = QUEUED_MEMORY_SHARE * limits.memory_mb * 2**20 or inf
         self.connections: dict[Connection, None] = {}
@@ -113,7 +117,7 @@
         Returns:
             The connection, which is not established yet; frames can be queued on it.
         """
-        connection = Connection(self, receiver, BODY_BUFFER_BYTES, COMMAND_BUFFER_BYTES)
+        connection = Connection(self, receiver, COMMAND_BUFFER_BYTES)
         self.connections[connection] = None
 
         async def connect_and_read() -> None:
@@ -225,7 +229,7 @@
         """Takes over an accepted socket and starts to read it."""
         sock.setblocking(False)
         self.open_sockets += 1
-        connection = Connection(self, receiver, COMMAND_BUFFER_BYTES, BODY_BUFFER_BYTES)
+        connection = Connection(self, receiver, ANSWER_BUFFER_BYTES)
         connection.sock = sock
         connection.is_connected = True
         connection.no_delay = self.calls.enable_no_delay(sock)
--- a/ironhinge/net/connection_protocols.py
+++ b/ironhinge/net/connection_protocols.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from .attempt_end import AttemptEnd
+from .ring_buffer import RingPool
 from .socket_calls import SocketCalls
 from .timed_selector import TimedSelector
 
@@ -19,6 +20,8 @@
 
     calls: SocketCalls
     selector: TimedSelector
+    read_buffer: memoryview  # of all connections; its bytes are valid until the next read
+    rings: RingPool
     task_group: TaskGroup  # runs the connection's tasks
     connections: dict[Connection, None]  # open connections; one that closes removes itself
     unflushed: dict[Connection, None]  # connections with queued output, in the order of their first write
@@ -37,7 +40,7 @@
         """Called once the connection is established."""
 
     def on_data(self, connection: Connection, data: memoryview, /) -> None:
-        """Called with bytes that have arrived; `data` is valid only during the call."""
+        """Called with bytes that have arrived; `data` is valid until the next read of any connection."""
 
     def on_closed(self, connection: Connection, end: AttemptEnd, /) -> None:
         """Called once, when the connection has ended."""
--- a/ironhinge/net/frame_writer.py
+++ b/ironhinge/net/frame_writer.py
@@ -18,7 +18,7 @@
 from .attempt_end import AttemptEnd
 from .connection_protocols import ConnectionOwner
 from .frame import Frame, Pieces
-from .ring_buffer import RingBuffer
+from .ring_buffer import EMPTY_RING
 from .system_calls import Backoff, Remedy
 
 MAX_RENDERED_AGE = 0.02  # seconds; an older frame is rendered again before it is sent
@@ -32,7 +32,8 @@
     def __init__(self, owner: ConnectionOwner, outbound_size: int):
         self.owner = owner
         self.sock: socket.socket | None = None
-        self.outbound = RingBuffer(outbound_size)
+        self.outbound = EMPTY_RING  # a ring of `outbound_size` while there is unsent output
+        self._outbound_size = outbound_size
         self.pending_frames: deque[Frame] = deque()  # not completely in the outbound ring
         self.buffered_frames: deque[Frame] = deque()  # with bytes in the outbound ring, not completely sent
         self.queued_bytes = 0  # size of the pending frames
@@ -128,11 +129,13 @@
         remedy = self._send_all()
         if self.is_closed:
             return
+        self._release_empty_ring()
         if remedy is Remedy.DONE and self.is_finishing and not self.write_side_closed:
             remedy = calls.shut_down(self.sock, socket.SHUT_WR)
             self.write_side_closed = remedy is Remedy.DONE
         if remedy in (Remedy.WAIT, Remedy.PAUSE):
             self._requeue_unsent_frames()
+            self._release_empty_ring()
             has_partial_frame = bool(self.buffered_frames)
             self.is_peer_slow = self.is_peer_slow or (has_partial_frame and remedy is Remedy.WAIT)
             self.write_wait_scope = anyio.CancelScope()
@@ -140,6 +143,15 @@
         elif remedy is not Remedy.DONE:
             self.close(AttemptEnd.RESET)
 
+    def _release_empty_ring(self) -> None:
+        if not self.outbound.used:
+            self._release_ring()
+
+    def _release_ring(self) -> None:
+        if self.outbound is not EMPTY_RING:
+            self.owner.rings.give_back(self.outbound)
+            self.outbound = EMPTY_RING
+
     def _send_all(self) -> Remedy:
         """Returns DONE once everything is sent, else why the system accepts no more."""
         is_rerendered = False
@@ -208,6 +220,8 @@
         return True
 
     def _fill_ring(self) -> None:
+        if self.pending_frames and self.outbound is EMPTY_RING:
+            self.outbound = self.owner.rings.take(self._outbound_size)
         while self.pending_frames and self.outbound.used < self.outbound.size:
             frame = self.pending_frames[0]
             if frame.ring_start is None:
--- a/ironhinge/net/ring_buffer.py
+++ b/ironhinge/net/ring_buffer.py
@@ -83,3 +83,33 @@
             self.used += count
             copied += count
         return copied
+
+
+EMPTY_RING = RingBuffer(0)  # of a connection that holds no bytes
+MAX_SPARE_RINGS = 4  # of each size
+
+
+class RingPool:
+    """Lends ring buffers to connections while they hold bytes.
+
+    Attributes:
+        lent_bytes: The size of the rings that are lent.
+    """
+
+    def __init__(self) -> None:
+        self.lent_bytes = 0
+        self._spare: dict[int, list[RingBuffer]] = {}
+
+    def take(self, size: int) -> RingBuffer:
+        """Returns an empty ring of that size."""
+        self.lent_bytes += size
+        spare = self._spare.get(size)
+        return spare.pop() if spare else RingBuffer(size)
+
+    def give_back(self, ring: RingBuffer) -> None:
+        """Takes back a ring, whatever it holds."""
+        self.lent_bytes -= ring.size
+        spare = self._spare.setdefault(ring.size, [])
+        if len(spare) < MAX_SPARE_RINGS:
+            ring.consume(ring.used)
+            spare.append(ring)
