Reading: turns are bounded by processor time, and a flood is read later

What callers saw: one client at full speed made the others wait. Cause: a turn was eight reads of 8 KB, whatever their frames cost, up to 0.15 s. Now a turn ends after 2 ms of processor time, small frames come in reads of 4 KB, and while the processor is over half used a connection pays for its turns from a credit that fills up with its share of it (cores of the settings); without credit it pauses.

--- a/ironhinge/config/director_config.py
+++ b/ironhinge/config/director_config.py
@@ -38,6 +38,7 @@
 
     memory_mb: int
     descriptors: int
+    cores: float = 0.0  # share of a processor
 
 
 class SettingsNames(NamedTuple):
@@ -213,7 +214,7 @@
         name=fields.text("name", ""),
         listen=parse_address(fields.text("listen"), "field 'listen'"),
         seed=_parse_hex(fields.text("seed", "0"), "field 'seed'"),
-        limits=ResourceLimits(limits.integer("memory_mb"), limits.integer("sockets")),
+        limits=ResourceLimits(limits.integer("memory_mb"), limits.integer("sockets"), limits.number("cores")),
         gossip_listen=_optional_address(fields, "peer_listen"),
         gossip_peers=tuple(parse_address(peer, "field 'peers'") for peer in fields.texts("peers")),
         gossip_broadcast=_optional_address(fields, "peers_all"),
--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -36,8 +36,11 @@
 from .event_log import EventKind, EventLog
 from .memory_budget import MemoryBudget
 from .open_request import OpenRequest
+from .read_pacer import ReadCredit
 
 MAX_OPEN_REQUESTS = 32  # on one connection; the protocol's limit
+FIRST_READ_SIZE = 1024  # bytes that are read first of a new connection
+MIN_READ_SIZE = 4096  # bytes; more is read at once only of a frame that is longer
 
 
 class Phase(Enum):
@@ -134,6 +137,8 @@
         Its client may have been silent since before the accept: it could send once it was in the backlog.
         """
         self.connection = connection
+        connection.read_size = FIRST_READ_SIZE
+        connection.credit = ReadCredit()
         self.waiting_since -= int(connection.idle_time_at_accept * SECOND)
         self._owner.on_client_connected(self)
         if self._owner.is_shutting_down():
@@ -156,6 +161,8 @@
             self._record_usage(message)
             self._on_message(message)
 
+        connection.read_size = max(MIN_READ_SIZE, self.wire.missing_bytes())
+
     def _drops_input(self) -> bool:
         return self.phase is Phase.HALF_CLOSED
 
--- a/ironhinge/net/client_wire.py
+++ b/ironhinge/net/client_wire.py
@@ -205,6 +205,10 @@
         """Returns whether a frame has begun to arrive and is not complete."""
         return bool(self.buffered or self._bytes_to_discard)
 
+    def missing_bytes(self) -> int:
+        """Returns how many bytes the frame still lacks that has begun to arrive; 0 between frames."""
+        return self._bytes_to_discard or (self.bytes_needed - len(self.buffered) if self.buffered else 0)
+
     def feed(self, data: memoryview) -> list[Message]:
         """Adds bytes; returns the messages that are complete now."""
         messages: list[Message] = []
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -20,12 +20,12 @@
 from .connection_protocols import NULL_RECEIVER, ConnectionOwner, NullReceiver, Receiver
 from .frame import Frame, Pieces
 from .frame_writer import FrameWriter
+from .read_pacer import ReadCredit, ReadTurn
 from .system_calls import Remedy
 
 __all__ = ["NULL_RECEIVER", "Connection", "ConnectionOwner", "Frame", "NullReceiver", "Pieces", "Receiver"]
 
-READS_PER_TURN = 8  # reads of one connection before other tasks run
-MAX_IMMEDIATE_READS = 4  # reads by `read_now`: a read may be short, or fail temporarily
+MIN_IMMEDIATE_READS = 4  # reads by `read_now`, whatever they cost: a read may be short, or fail temporarily
 DISCARD_INTERVAL = 0.01  # seconds between reads of data that is discarded
 MAX_EMPTY_AGE = 0.03  # seconds; if a connection was last known to be empty earlier, a short read is repeated
 
@@ -39,7 +39,11 @@
         self.is_receiving = False  # the receiver's `on_data` is running
         self.discarded_bytes = 0  # bytes that arrived after `finish`
         self.last_received_at = 0.0  # when data last arrived, in monotonic seconds
+        self.read_size = len(owner.read_buffer)  # the most that is read at once; its receiver may set less
         self.last_read_size = 0  # buffer size of the latest read
+        # called after the reads of a turn, with whether another turn follows at once
+        self.after_turn: Callable[[bool], None] | None = None
+        self.credit: ReadCredit | None = None  # what its reads are paid from; None: it is never read later
         self.last_empty_at = monotonic()  # the next data read arrived after this; see `empty_until`
         self.polled_descriptor: int | None = None  # set while the read loop waits for input
         # when the last data arrived that the system received before the accept (monotonic seconds)
@@ -58,6 +62,7 @@
         """
         if not self.is_finishing and not self.is_closed:
             self.is_finishing = True
+            self.read_size = len(self.owner.read_buffer)  # what is discarded has no cost
             self.owner.finishing_count += 1
             self._request_flush()
 
@@ -106,31 +111,54 @@
         return remedy is Remedy.BROKEN or (remedy is Remedy.DONE and not has_data)
 
     async def read_loop(self) -> None:
-        """Reads until the connection ends."""
-        reads = 0
+        """Reads until the connection ends, one turn after another."""
         while self.sock is not None and not self.is_closed:
-            if self.is_finishing and reads:  # a peer that keeps sending must not use up the CPU
-                await anyio.sleep(DISCARD_INTERVAL)
-            count, remedy = self._read_once()
+            turn = ReadTurn()
+            remedy = self._read_turn(turn)
             if self.is_closed:
                 return
-            if remedy is Remedy.WAIT:
-                await self._wait_until_readable()
-                continue
             if remedy is Remedy.PAUSE:
                 await anyio.sleep(self._next_pause())
-                continue
-            reads += 1
-            if self.is_finishing:
-                continue
-            self.owner.flush()
-            if self.is_closed:
-                return
-            if count < self.last_read_size and monotonic() < self.last_empty_at + MAX_EMPTY_AGE:
-                await self._wait_until_readable()  # a short read: most probably nothing else is unread
-            elif reads % READS_PER_TURN == 0:
+            elif self.is_finishing:  # a peer that keeps sending must not use up the CPU
+                await anyio.sleep(DISCARD_INTERVAL)
+            pause = self.owner.pacer.charge(self.credit, turn) if self.credit is not None else 0.0
+            if pause:
+                self._end_turn(may_continue=False)
+                await anyio.sleep(pause)
+            elif remedy is Remedy.WAIT:
+                await self._wait_until_readable()
+            else:
                 await lowlevel.checkpoint()
 
+    def _read_turn(self, turn: ReadTurn) -> Remedy:
+        """Reads until nothing is unread or the turn is over, and writes what that causes.
+
+        Returns:
+            WAIT if most probably nothing is unread; DONE if more may be; PAUSE if reading failed.
+        """
+        while True:
+            count, remedy = self._read_once()
+            if self.is_closed or remedy is not Remedy.DONE or self.is_finishing:
+                break
+            if count < self.last_read_size and monotonic() < self.last_empty_at + MAX_EMPTY_AGE:
+                remedy = Remedy.WAIT  # a short read: most probably nothing else is unread
+                break
+            if count < self.last_read_size or turn.is_over():
+                self._end_turn(may_continue=True)
+                return remedy
+        self._end_turn(may_continue=False)
+        return remedy
+
+    def _end_turn(self, may_continue: bool) -> None:
+        """Lets the receiver act on what was read, and writes the output.
+
+        Args:
+            may_continue: More is unread, and will be read in the next turn of the event loop.
+        """
+        if self.after_turn is not None and not self.is_closed:
+            self.after_turn(may_continue)
+        self.owner.flush()
+
     async def _wait_until_readable(self) -> None:
         assert self.sock is not None
         self.polled_descriptor = self.sock.fileno()
@@ -169,17 +197,18 @@
 
     def read_now(self) -> None:
         """Reads what has arrived at once, for a decision that can't wait until the read loop runs."""
-        for _ in range(MAX_IMMEDIATE_READS):
-            if (
-                self.sock is None
-                or not self.is_connected
-                or self.is_closed
-                or self.is_finishing
-                or self.is_receiving
-            ):
-                return
+        turn = ReadTurn()
+        reads = 0
+        while self._may_read_now() and (reads < MIN_IMMEDIATE_READS or not turn.is_over()):
+            reads += 1
             if self._read_once()[1] is Remedy.WAIT:
-                return
+                break
+        if reads and self.after_turn is not None and not self.is_closed:
+            self.after_turn(False)
+
+    def _may_read_now(self) -> bool:
+        is_open = self.sock is not None and self.is_connected and not self.is_closed
+        return is_open and not self.is_finishing and not self.is_receiving
 
     def _read_once(self) -> tuple[int, Remedy]:
         """Reads once and passes the data to the receiver; closes the connection if the peer has closed it.
@@ -188,7 +217,7 @@
         """
         assert self.sock is not None
         began_at = monotonic()
-        buffer = self.owner.read_buffer
+        buffer = self.owner.read_buffer[: self.read_size]
         self.last_read_size = len(buffer)
         count, remedy = self.owner.calls.receive(self.sock, buffer)
         if remedy is Remedy.WAIT:
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -21,6 +21,7 @@
 from .attempt_end import AttemptEnd
 from .connection import Connection, Receiver
 from .descriptor_budget import DescriptorBudget
+from .read_pacer import ReadPacer
 from .ring_buffer import RingPool
 from .socket_calls import SocketCalls
 from .system_calls import Backoff, Call, Remedy
@@ -78,6 +79,7 @@
         self.shed_idle: Callable[[], None] = _close_nothing
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.rings = RingPool()
+        self.pacer = ReadPacer(limits.cores)
         self.queued_bytes = 0
         self.queued_bytes_limit = QUEUED_MEMORY_SHARE * limits.memory_mb * 2**20 or inf
         self.connections: dict[Connection, None] = {}
--- a/ironhinge/net/connection_protocols.py
+++ b/ironhinge/net/connection_protocols.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from .attempt_end import AttemptEnd
+from .read_pacer import ReadPacer
 from .ring_buffer import RingPool
 from .socket_calls import SocketCalls
 from .timed_selector import TimedSelector
@@ -22,6 +23,7 @@
     selector: TimedSelector
     read_buffer: memoryview  # of all connections; its bytes are valid until the next read
     rings: RingPool
+    pacer: ReadPacer
     task_group: TaskGroup  # runs the connection's tasks
     connections: dict[Connection, None]  # open connections; one that closes removes itself
     unflushed: dict[Connection, None]  # connections with queued output, in the order of their first write
