Requests: none is sent whose client has left, though its end is not read yet

What callers saw: attempts up to 0.7 s after their client had closed or reset its connection with much unread; each counts as lost. Cause: the end stands behind all that was written, and requests were routed as they were read. Now requests are routed after a turn, so a cancellation or the end in the same input comes first; where data had waited, or more is unread, they wait up to 20 ms for the rest; and before a command is rendered the kernel is asked for the state of the client's connection (TCP_INFO, trusted once it has reported one as established).

--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -39,6 +39,7 @@
 from .read_pacer import ReadCredit
 
 MAX_OPEN_REQUESTS = 32  # on one connection; the protocol's limit
+MAX_ROUTING_DELAY = 20 * MILLISECOND  # for which an admitted request waits for what is still unread
 FIRST_READ_SIZE = 1024  # bytes that are read first of a new connection
 MIN_READ_SIZE = 4096  # bytes; more is read at once only of a frame that is longer
 
@@ -103,6 +104,9 @@
     def admit(self, client: ClientConnection, message: client_wire.RequestMessage) -> None:
         """Handles a received request; the answer goes to its stream."""
 
+    def route(self, request: OpenRequest) -> None:
+        """Passes an admitted request to the router, unless it has ended meanwhile."""
+
     def on_client_disconnected(self, request: OpenRequest) -> None:
         """Handles a request whose client no longer waits for its answer."""
 
@@ -120,6 +124,10 @@
         self.number = owner.next_client_number()
         self.wire = client_wire.ClientWire(owner.incomplete_frames)
         self.open_requests: dict[int, OpenRequest] = {}  # by stream
+        # admitted in the current turn; they are routed after it, as a cancellation or the end may follow them
+        self.unrouted: list[OpenRequest] = []
+        self.first_unrouted_at = 0
+        self.routes_after_turn = False  # set once the connection tells the end of its turns
         self.connection: Connection
         self.phase = Phase.OPEN
         self.close_cause: CloseCause | None = None
@@ -137,6 +145,8 @@
         Its client may have been silent since before the accept: it could send once it was in the backlog.
         """
         self.connection = connection
+        connection.after_turn = self._route_admitted
+        connection.ends_with_peer = self.routes_after_turn = True
         connection.read_size = FIRST_READ_SIZE
         connection.credit = ReadCredit()
         self.waiting_since -= int(connection.idle_time_at_accept * SECOND)
@@ -163,6 +173,29 @@
 
         connection.read_size = max(MIN_READ_SIZE, self.wire.missing_bytes())
 
+    def route_later(self, request: OpenRequest) -> None:
+        """Makes a request wait for the end of the current turn."""
+        if not self.unrouted:
+            self.first_unrouted_at = self._owner.clock.now()
+        self.unrouted.append(request)
+
+    def _route_admitted(self, may_continue: bool) -> None:
+        """Routes the requests that were admitted, unless their client has left.
+
+        Its end or a cancellation may be behind what is still unread, so if another turn follows at once, they
+        wait for that, up to `MAX_ROUTING_DELAY`.
+        """
+        requests = self.unrouted
+        if not requests:
+            return
+        if may_continue and self._owner.clock.now() < self.first_unrouted_at + MAX_ROUTING_DELAY:
+            return
+        self.unrouted = []
+        if len(requests) > 1 and self.connection.close_if_peer_left():
+            return
+        for request in requests:
+            self._owner.route(request)
+
     def _drops_input(self) -> bool:
         return self.phase is Phase.HALF_CLOSED
 
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -43,6 +43,8 @@
         self.last_read_size = 0  # buffer size of the latest read
         # called after the reads of a turn, with whether another turn follows at once
         self.after_turn: Callable[[bool], None] | None = None
+        # a peer that has left is of no interest, nor is its unread input; see `close_if_peer_left`
+        self.ends_with_peer = False
         self.credit: ReadCredit | None = None  # what its reads are paid from; None: it is never read later
         self.last_empty_at = monotonic()  # the next data read arrived after this; see `empty_until`
         self.polled_descriptor: int | None = None  # set while the read loop waits for input
@@ -159,6 +161,14 @@
             self.after_turn(may_continue)
         self.owner.flush()
 
+    def close_if_peer_left(self) -> bool:
+        """Closes the connection if the peer has closed or reset it, though earlier input may be unread."""
+        if self.sock is None or self.is_closed:
+            return self.is_closed
+        if self.ends_with_peer and self.owner.calls.has_peer_left(self.sock):
+            self.close(AttemptEnd.CLOSED)
+        return self.is_closed
+
     async def _wait_until_readable(self) -> None:
         assert self.sock is not None
         self.polled_descriptor = self.sock.fileno()
@@ -191,6 +201,8 @@
 
     def catch_up(self, max_age: float) -> None:
         """Reads what has arrived, unless no data older than `max_age` seconds can be unread."""
+        if self.close_if_peer_left():
+            return
         oldest = monotonic() - max_age
         if self.last_empty_at < oldest and self.empty_until() < oldest:
             self.read_now()
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -186,7 +186,15 @@
             return
         client.open_requests[request.stream] = self.requests[request.request_id] = request
         self.diagnostics.counters["requests"] += 1
-        self.decision_loop.report_request(request.received, request.deadline)
+        if client.routes_after_turn:
+            client.route_later(request)
+        else:
+            self.route(request)
+
+    def route(self, request: OpenRequest) -> None:
+        """Passes an admitted request to the router, unless it has ended meanwhile."""
+        if not request.is_closed:
+            self.decision_loop.report_request(request.received, request.deadline)
 
     def _reject_for_memory(self, client: ClientConnection, stream: int) -> None:
         """Rejects a request that does not fit beside the open ones, or beside frames that are incomplete."""
--- a/ironhinge/net/socket_calls.py
+++ b/ironhinge/net/socket_calls.py
@@ -18,6 +18,10 @@
 from .system_calls import MIN_PAUSE, Call, Remedy, error_name, remedy_for
 
 LISTEN_BACKLOG = 1024  # connections that may wait to be accepted
+# Values of the first byte of struct tcp_info, tcpi_state.
+TCP_ESTABLISHED = 1
+TCP_CLOSE_WAIT = 8  # the peer has ended its side
+TCP_PEER_LEFT_STATES = (6, 7, 9, 11)  # the peer has ended its side after ours, or has reset the connection
 TCP_LISTEN = 10  # the first byte of struct tcp_info, tcpi_state, of a listener
 TCP_BACKLOG_LENGTH = slice(24, 28)  # of struct tcp_info: tcpi_unacked, which a listener uses for its backlog
 TCP_LAST_DATA_RECEIVED = slice(52, 56)  # of struct tcp_info: tcpi_last_data_recv, in milliseconds
@@ -35,6 +39,8 @@
 
     def __init__(self, on_failure: FailureCallback):
         self._on_failure = on_failure
+        # the system has reported a connection as established, so that other states are reported too
+        self._reports_states = False
 
     def classify_failure(self, call: Call, error: int | None) -> Remedy:
         """Returns the remedy for an errno value; reports the error if it is unusual."""
@@ -155,10 +161,21 @@
             return None
         return int.from_bytes(info[TCP_BACKLOG_LENGTH], sys.byteorder)
 
-    def _tcp_info(self, sock: socket.socket) -> bytes:
-        """Returns the start of struct tcp_info, up to the fields that are used; empty if it is unknown."""
+    def has_peer_left(self, sock: socket.socket) -> bool:
+        """Returns whether the peer has closed or reset the connection, though data may be unread before that.
+
+        False if the state of the connection is unknown.
+        """
+        state = self._tcp_info(sock, 1)[:1]
+        if not state or state[0] == TCP_ESTABLISHED:
+            self._reports_states = self._reports_states or bool(state)
+            return False
+        return state[0] == TCP_CLOSE_WAIT or (self._reports_states and state[0] in TCP_PEER_LEFT_STATES)
+
+    def _tcp_info(self, sock: socket.socket, size: int = TCP_LAST_DATA_RECEIVED.stop) -> bytes:
+        """Returns the start of struct tcp_info, by default up to the last field used; empty if unknown."""
         try:
-            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_LAST_DATA_RECEIVED.stop)
+            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
         except OSError as error:
             self.classify_failure(Call.GET_OPTION, error.errno)
             return b""
