Routing: a request that may have run is not sent again when its id comes again

What callers saw: an id ran twice when it came again after its client had left. Cause: once a request had ended nothing remembered its id.

--- a/ironhinge/routing/router.py
+++ b/ironhinge/routing/router.py
@@ -25,11 +25,13 @@
     DiscoveryFailed,
     EndpointsUpdated,
     Event,
+    FailRequest,
     FillBudget,
     InstanceStarted,
     LocalCopyFinished,
     LocalStore,
     PurgeNotified,
+    RejectRequest,
     RequestReceived,
     ResponseStarted,
     ServeLocalCopy,
@@ -45,6 +47,7 @@
 from .congestion import CongestionControl
 from .deterministic_random import DeterministicRandom
 from .eligibility import Eligibility
+from .executed_requests import ExecutedRequests
 from .fill_source import FillSourceSelector
 from .final_answers import final_answer
 from .liveness import LivenessMonitor
@@ -84,6 +87,7 @@
         )
         self.request_classes = [RequestClassState(each) for each in deployment.request_classes]
         self.requests: dict[str, RequestState] = {}
+        self.executed_requests = ExecutedRequests(self.longest_client_timeout)
         self.recent_requests = RecentRequests(deployment.local_router_count)
         self.random = DeterministicRandom(seed)
         self.upstreams = UpstreamRegistry(deployment)
@@ -130,17 +134,18 @@
             try:
                 handler(now, event)
             except Exception:
-                self._discard_request(getattr(event, "request_id", ""))
+                self._discard_request(now, getattr(event, "request_id", ""))
                 raise
         return self._commands
 
-    def _discard_request(self, request_id: str) -> None:
+    def _discard_request(self, now: int, request_id: str) -> None:
         """Discards a request whose event handler raised an exception.
 
         An attempt that stayed in flight forever would distort the state of its upstreams.
         """
-        request = self.requests.pop(request_id, None)
+        request = self.requests.get(request_id)
         if request is not None:
+            self._close(now, request, may_have_run=request.attempt_count > 0)
             for path in request.in_flight_at_send:
                 path.in_flight.pop(request_id, None)
 
@@ -149,6 +154,8 @@
     def on_request(self, now: int, event: RequestReceived) -> None:
         """Serves a new request from the local store, or routes it."""
         request_class = self.request_classes[event.class_index]
+        if not request_class.is_idempotent and not self._may_run(now, event.request_id):
+            return
         transfer_time = self._transfer_time(event, request_class)
         request = RequestState(event, request_class, now, transfer_time)
         self.requests[event.request_id] = request
@@ -160,6 +167,26 @@
         else:
             self.route(now, request)
 
+    def _may_run(self, now: int, request_id: str) -> bool:
+        """Returns whether a request that is not idempotent may run; answers it if it may not.
+
+        It fails if one with its id may have run, since a rejection would invite the client to repeat it. It
+        is rejected while no further id can be remembered.
+        """
+        if self.executed_requests.contains(now, request_id):
+            self._commands.append(FailRequest(request_id))
+            return False
+        if self.executed_requests.is_full():
+            self._commands.append(RejectRequest(request_id, self.deployment.max_retry_after))
+            return False
+        return True
+
+    def _close(self, now: int, request: RequestState, may_have_run: bool) -> None:
+        """Deletes a request that has ended, and remembers its id if it must not run again."""
+        del self.requests[request.id]
+        if may_have_run and not request.request_class.is_idempotent:
+            self.executed_requests.add(now, request.id)
+
     def _transfer_time(self, event: RequestReceived, request_class: RequestClassState) -> int:
         """Returns the transfer time on an idle path: from the size, else the average of the class."""
         rate = self.deployment.transfer_rate
@@ -242,7 +269,7 @@
         if event.result == DONE and self._should_store(now, request):
             self._commands.append(StoreLocalCopy(request.id))
         if event.request_closed or request.response_started or request.client_disconnected:
-            del self.requests[request.id]
+            self._close(now, request, event.result == DONE or request.possibly_run_attempt is not None)
         else:
             self.route(now, request)
 
@@ -298,5 +325,5 @@
 
     def finish_unserved(self, now: int, request: RequestState) -> None:
         """Ends a request that no upstream could serve, with a rejection or a failure."""
-        del self.requests[request.id]
+        self._close(now, request, request.possibly_run_attempt is not None)
         self._commands.append(final_answer(now, request, self.deployment.max_retry_after))
