--- a/ironhinge/__main__.py
+++ b/ironhinge/__main__.py
@@ -1,5 +1,9 @@
 """Runs the command line as `python -m ironhinge`."""
 
-from .cli import main
+from .lean_imports import import_without_openssl
+
+import_without_openssl()
+
+from .cli import main  # noqa: E402 - it imports asyncio
 
 main(prog_name="ironhinge")
