Reading: the share of a connection goes by those that are overdrawn

The share went by all active connections: beside a crowd of 340 light ones a usual client had 0.15% of the processor, was overdrawn by one request and paused up to 0.48 s. Now only overdrawn connections divide the share; beside the same crowd a usual client waits 0.1 s at most, to be accepted. Shown by the tests of crowds and floods.

--- a/ironhinge/net/read_pacer.py
+++ b/ironhinge/net/read_pacer.py
@@ -12,13 +12,13 @@
 MAX_CREDIT = 0.03  # seconds of processor time that a burst may use beyond the connection's share
 INITIAL_CREDIT = 0.0005  # seconds; a client that floods may open a new connection again and again
 MAX_DEBT = 0.03  # seconds
-SHARED_CREDIT = 0.5  # of the processor: the rate at which all credits together fill up
+SHARED_CREDIT = 0.5  # of the processor: the rate at which all overdrawn credits together fill up
 MAX_CREDIT_SHARE = 0.1  # of the processor: the rate at which one credit fills up
 MAX_PAUSE = 0.5  # seconds
 BUSY_UTILIZATION = 0.5  # of the processor; no connection pauses while less is used
 BUSY_PERIOD = 1.0  # seconds for which the processor counts as busy after much use, or after a pause
 MEASURE_INTERVAL = 0.05  # seconds between measurements of the utilization
-COUNT_INTERVAL = 1.0  # seconds in which the active connections are counted
+COUNT_INTERVAL = 1.0  # seconds in which the overdrawn connections are counted
 
 
 class ReadCredit:
@@ -27,7 +27,7 @@
     Attributes:
         seconds: What is left; negative if it is overdrawn.
         updated_at: When it was last updated (monotonic seconds).
-        counted_in: The interval in which the connection was last counted as active.
+        counted_in: The interval in which the connection was last counted as overdrawn.
     """
 
     __slots__ = ("counted_in", "seconds", "updated_at")
@@ -69,26 +69,26 @@
         self._measured_at = monotonic()
         self._measured_cpu = thread_time()
         self._busy_until = 0.0  # monotonic seconds
-        self._interval = 1  # number of the interval in which active connections are counted
+        self._interval = 1  # number of the interval in which overdrawn connections are counted
         self._interval_began_at = self._measured_at
-        self._active_count = 0
-        self._previous_active_count = 0
+        self._overdrawn_count = 0
+        self._previous_overdrawn_count = 0
 
     def charge(self, credit: ReadCredit, turn: ReadTurn) -> float:
         """Takes the cost of a turn off a credit; returns for how many seconds the connection should pause."""
         now, cost = monotonic(), turn.cost()
         if now > self._measured_at + MEASURE_INTERVAL:
             self._measure(now)
-        if credit.counted_in != self._interval:
-            credit.counted_in = self._interval
-            self._active_count += 1
-        active_count = max(self._active_count, self._previous_active_count)
-        share = min(MAX_CREDIT_SHARE, SHARED_CREDIT / active_count) * self._cores
+        overdrawn_count = max(1, self._overdrawn_count, self._previous_overdrawn_count)
+        share = min(MAX_CREDIT_SHARE, SHARED_CREDIT / overdrawn_count) * self._cores
         refilled = credit.seconds + (now - credit.updated_at) * share
         credit.seconds = max(-MAX_DEBT, min(MAX_CREDIT, refilled) - cost)
         credit.updated_at = now
         if credit.seconds >= 0 or now > self._busy_until:
             return 0.0
+        if credit.counted_in != self._interval:
+            credit.counted_in = self._interval
+            self._overdrawn_count += 1
         self.pauses += 1
         self._busy_until = now + BUSY_PERIOD
         return min(MAX_PAUSE, -credit.seconds / share)
@@ -102,4 +102,4 @@
         if now > self._interval_began_at + COUNT_INTERVAL:
             self._interval += 1
             self._interval_began_at = now
-            self._previous_active_count, self._active_count = self._active_count, 0
+            self._previous_overdrawn_count, self._overdrawn_count = self._overdrawn_count, 0
