Memory: one account of what is left after the base

What callers saw: processes killed over their memory limit. Cause: bodies, incomplete frames and queued output were bounded as shares of the limit that knew nothing of the base, of connections, of open requests or of one another. Now an account takes the base at the end of the start, keeps a reserve, limits the connections to what the rest allows, and lets bodies, frames and requests in as long as there is room; near the limit, by what is really resident, nothing more is taken in (memory_pressure). The counters and each step say what holds the memory, so the log answers the report.

--- a/ironhinge/net/client_wire.py
+++ b/ironhinge/net/client_wire.py
@@ -39,7 +39,7 @@
 STREAM_END = 5  # offset after type and stream, counted from the end of the length
 MIN_FRAME_LENGTH = STREAM_END
 MAX_FRAME_LENGTH = 262_144  # the protocol's limit
-UNCOUNTED_FRAME_BYTES = 4096  # a shorter incomplete frame is not counted against the memory budget
+UNCOUNTED_FRAME_BYTES = 1024  # a shorter incomplete frame is not counted against the memory budget
 FRAME_HEADER = struct.Struct(">IBI")  # length, type, stream
 
 HEX_ID_PATTERN = re.compile("[0-9a-fA-F]{16}")
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -90,6 +90,7 @@
         # frees the buffer and breaks the reference cycle without waiting for the garbage collector
         self._release_ring()
         self.receiver = NULL_RECEIVER
+        self.after_turn = None
 
     def _release_socket(self) -> None:
         """Closes the socket once no task waits on it, as its descriptor may be reused immediately."""
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -21,6 +21,7 @@
 from .attempt_end import AttemptEnd
 from .connection import Connection, Receiver
 from .descriptor_budget import DescriptorBudget
+from .memory_account import MemoryAccount
 from .read_pacer import ReadPacer
 from .ring_buffer import RingPool
 from .socket_calls import SocketCalls
@@ -80,6 +81,10 @@
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.rings = RingPool()
         self.pacer = ReadPacer(limits.cores)
+        self.memory = MemoryAccount(limits.memory_mb)
+        self.memory.use.connections = lambda: self.open_sockets
+        self.memory.use.max_connections = lambda: self.descriptor_limit
+        self.memory.use.output_bytes = self.output_bytes
         self.queued_bytes = 0
         self.queued_bytes_limit = QUEUED_MEMORY_SHARE * limits.memory_mb * 2**20 or inf
         self.connections: dict[Connection, None] = {}
@@ -94,13 +99,28 @@
             self.unflushed.clear()
             for connection in connections:
                 connection.send_pending()
-            if self.queued_bytes > self.queued_bytes_limit:
+            if self.queued_bytes > self.queued_bytes_limit or self.output_bytes() > self.memory.max_output():
                 self._close_largest_queue()
 
+    def output_bytes(self) -> int:
+        """Returns the bytes that queued output holds, with the rings that are lent for it."""
+        return self.queued_bytes + self.rings.lent_bytes
+
+    def limit_connections_to_memory(self) -> None:
+        """Lowers the descriptor limit to the connections that the memory allows, after the start."""
+        self.memory.set_base()
+        self.descriptor_limit = int(min(self.descriptor_limit, self.memory.max_connections()))
+
     def _close_largest_queue(self) -> None:
         """Closes the connection with the most queued output, so that one peer can't exhaust the memory."""
-        largest = max(self.connections, key=lambda connection: connection.queued_bytes)
-        logger.warning("connection_closed reason=memory_limit queued_bytes={}", largest.queued_bytes)
+        largest = max(self.connections, key=lambda connection: connection.output_bytes(), default=None)
+        if largest is None or not largest.output_bytes():
+            return
+        logger.warning(
+            "connection_closed reason=memory_limit output_bytes={} {}",
+            largest.output_bytes(),
+            self.memory.summary(),
+        )
         largest.close(AttemptEnd.MEMORY_LIMIT)
 
     # Connecting
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -88,8 +88,13 @@
         self.requests: dict[str, OpenRequest] = {}
         self.shutdown_deadline: int | None = None  # for all answers; None: not shutting down
         self.admission_deadline: int | None = None  # requests read after that are rejected at once
-        self.request_bodies = MemoryBudget(config.limits.memory_mb, REQUEST_BODY_SHARE)
-        self.incomplete_frames = MemoryBudget(config.limits.memory_mb, INCOMPLETE_FRAME_SHARE)
+        self.memory = manager.memory
+        memory_mb, has_room = config.limits.memory_mb, self.memory.has_room_for_data
+        self.request_bodies = MemoryBudget(memory_mb, REQUEST_BODY_SHARE, has_room)
+        self.incomplete_frames = MemoryBudget(memory_mb, INCOMPLETE_FRAME_SHARE, has_room)
+        self.memory.use.requests = lambda: len(self.requests)
+        self.memory.use.body_bytes = lambda: self.request_bodies.used
+        self.memory.use.frame_bytes = lambda: self.incomplete_frames.used
         self.diagnostics = Diagnostics(self.clock)
         self.monitor = LoopMonitor(self.clock)
         self.clients = ClientRegistry(manager, self.clock)
@@ -181,7 +186,7 @@
             text = str(error).encode()
             client.connection.write(client_wire.answer(message.stream, client_wire.ABORTED, {}, text))
             return
-        if not self.request_bodies.reserve(len(request.body)):
+        if not self.memory.has_room_for_request() or not self.request_bodies.reserve(len(request.body)):
             self._reject_for_memory(client, request.stream)
             return
         client.open_requests[request.stream] = self.requests[request.request_id] = request
@@ -359,6 +364,8 @@
             self.monitor.on_maintenance_run(due)
             runs += 1
             self.clock.check_wall_clock()
+            if self.memory.measure():
+                self.warn("memory_pressure", f"memory_pressure {self.memory.summary()}")
             if runs % RUNS_PER_TIMEOUT_CHECK == 0 or self.manager.is_nearly_full():
                 self.close_idle_connections()
                 self.manager.flush()
@@ -375,9 +382,10 @@
     def summary(self) -> str:
         """Returns the counters, open requests and sockets, and the loop lag, as key=value fields."""
         lag_ms = self.monitor.loop_lag / MILLISECOND
-        open_now = f"open_requests={len(self.requests)} open_sockets={self.manager.open_sockets}"
+        open_now = f"{self.memory.summary()} open_sockets={self.manager.open_sockets}"
         open_now += f" request_body_bytes_peak={self.request_bodies.peak}"
         open_now += f" incomplete_frame_bytes_peak={self.incomplete_frames.peak}"
+        open_now += f" read_pauses={self.manager.pacer.pauses}"
         return f"{self.diagnostics.summary()} {open_now} loop_lag_ms={lag_ms}"
 
     # Shutdown
--- a/ironhinge/net/frame_writer.py
+++ b/ironhinge/net/frame_writer.py
@@ -86,6 +86,10 @@
         self.send_pending()
         return not self.pending_frames and not self.outbound.used
 
+    def output_bytes(self) -> int:
+        """Returns the bytes that its queued output holds, with its ring."""
+        return self.queued_bytes + self.outbound.size
+
     def _count_queued(self, size: int) -> None:
         self.queued_bytes += size
         self.owner.queued_bytes += size
--- a/ironhinge/net/memory_budget.py
+++ b/ironhinge/net/memory_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from math import inf
 
 REQUEST_BODY_SHARE = 0.2  # of the memory limit, for the bodies of open requests
@@ -19,9 +20,11 @@
         peak: The most bytes that were in use at a time.
     """
 
-    __slots__ = ("limit", "peak", "used")
+    __slots__ = ("_has_room", "limit", "peak", "used")
 
-    def __init__(self, memory_mb: int, share: float):
+    def __init__(self, memory_mb: int, share: float, has_room: Callable[[int], bool] | None = None):
+        """`has_room` tells whether the process as a whole has room for a number of bytes."""
+        self._has_room = has_room
         self.limit = share * memory_mb * BYTES_PER_MB or inf
         self.used = 0
         self.peak = 0
@@ -30,6 +33,8 @@
         """Adds bytes that are needed now; False, without an effect, if the limit does not allow them."""
         if size and self.used + size > self.limit:
             return False
+        if size and self._has_room is not None and not self._has_room(size):
+            return False
         self.used += size
         self.peak = max(self.peak, self.used)
         return True
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -184,5 +184,6 @@
     gc.collect()
     gc.freeze()  # later collections skip the objects that exist now
     gc.set_threshold(*GC_THRESHOLDS)
+    manager.limit_connections_to_memory()
     logger.info("director_started name={} listen={}:{}", config.name or "director", *config.listen)
     return director, listener
--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -4,7 +4,8 @@
 import selectors
 import socket
 import struct
-import threading
+import subprocess
+import sys
 import time
 from enum import Enum
 from pathlib import Path
@@ -129,17 +130,10 @@
         client.sock.close()
 
 
-class CrowdThread(threading.Thread):
-    """A crowd in a thread of its own."""
-
-    def __init__(self, crowd, port, size, seconds, comes_again=True):
-        super().__init__(daemon=True)
-        self.arguments = crowd, port, size, seconds, comes_again
-        self.start()
-
-    def run(self):
-        """Drives the crowd until its time is over."""
-        run_crowd(*self.arguments)
+def run_crowd_process(crowd, port, size, seconds):
+    """Runs a crowd in a process of its own, so that it does not slow down the other clients of a test."""
+    arguments = [crowd.name, str(port), str(size), str(seconds)]
+    subprocess.run([sys.executable, __file__, *arguments], check=True)
 
 
 def peak_memory_mb(pid):
@@ -147,3 +141,7 @@
     status = Path(f"/proc/{pid}/status").read_text()
     (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
     return int(line.split()[1]) / 1024
+
+
+if __name__ == "__main__":
+    run_crowd(Crowd[sys.argv[1]], int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4]))
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -9,7 +9,7 @@
 
 from ironhinge.net import client_wire
 
-from .client_crowds import Crowd, CrowdThread, frame, peak_memory_mb, request
+from .client_crowds import Crowd, frame, peak_memory_mb, request, run_crowd_process
 from .helpers import DirectorProcess, FakeClient, FakeUpstream, configuration, endpoint_config, free_port
 
 CROWD_SECONDS = 2.0  # longer than a client may stall within a frame: the closed ones come again
@@ -80,8 +80,8 @@
     )
     director = start_director(tmp_path, upstream, memory_mb)
     try:
-        usual = UsualClient(director.port, CROWD_SECONDS)
-        CrowdThread(crowd, director.port, size, CROWD_SECONDS).join()
+        usual = UsualClient(director.port, CROWD_SECONDS + 0.5)
+        run_crowd_process(crowd, director.port, size, CROWD_SECONDS)
         usual.join()
         peak_mb = peak_memory_mb(director.process.pid)
         assert director.process.poll() is None
