Reading: a client that leaves its answers unread is not read any more

Forced with small socket buffers 4,728 answers waited on one connection in 0.6 s; now 64 and what one read brings. A client that keeps to the protocol has at most 32 open requests, so it is never held back by this.

--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -26,6 +26,10 @@
 __all__ = ["NULL_RECEIVER", "Connection", "ConnectionOwner", "Frame", "NullReceiver", "Pieces", "Receiver"]
 
 MIN_IMMEDIATE_READS = 4  # reads by `read_now`, whatever they cost: a read may be short, or fail temporarily
+# Answers that a client may leave unread before no more is read from it. By the protocol it has at most 32
+# open requests, and a readiness query or two.
+MAX_UNREAD_ANSWERS = 64
+UNREAD_ANSWERS_PAUSE = 0.02  # seconds
 DISCARD_INTERVAL = 0.01  # seconds between reads of data that is discarded
 MAX_EMPTY_AGE = 0.03  # seconds; if a connection was last known to be empty earlier, a short read is repeated
 
@@ -116,6 +120,9 @@
     async def read_loop(self) -> None:
         """Reads until the connection ends, one turn after another."""
         while self.sock is not None and not self.is_closed:
+            if self.credit is not None and len(self.pending_frames) > MAX_UNREAD_ANSWERS:
+                await anyio.sleep(UNREAD_ANSWERS_PAUSE)
+                continue
             turn = ReadTurn()
             remedy = self._read_turn(turn)
             if self.is_closed:
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -1,5 +1,7 @@
 """Large requests of many clients at once: the director refuses what does not fit into its memory."""
 
+import contextlib
+import socket
 import threading
 import time
 from collections import Counter
@@ -8,8 +10,12 @@
 import anyio
 
 from ironhinge import interface
+from ironhinge.config import Address
 from ironhinge.net import client_wire
+from ironhinge.net.client_connection import MIN_READ_SIZE, ClientConnection
+from ironhinge.net.connection import MAX_UNREAD_ANSWERS
 from ironhinge.net.memory_budget import MemoryBudget
+from ironhinge.net.socket_calls import listen
 
 from .helpers import DirectorProcess, FakeClient, FakeUpstream, configuration, endpoint_config, free_port
 from .test_director import TRACE, FakeRouter, request_frame, run_director, send_attempt
@@ -147,3 +153,29 @@
 
     run_director(fake_router, scenario)
     assert len(fake_router.events_of(interface.AttemptFinished)) == 3
+
+
+def test_client_that_reads_no_answer_is_not_read_any_more():
+    """Its readiness queries were answered without an end, and each answer that waits takes 1.4 KB."""
+    queries = client_wire.frame(client_wire.READINESS_QUERY, 0, b"\0")
+    max_waiting = MAX_UNREAD_ANSWERS + MIN_READ_SIZE // len(b"".join(queries))
+
+    async def scenario(director, client, wait_until):
+        listener = listen(Address("127.0.0.1", 0))
+        peer = socket.socket()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        peer.connect(listener.getsockname())
+        accepted = listener.accept()[0]
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        director.manager.adopt(accepted, ClientConnection(director))
+        (reader,) = director.clients
+        peer.setblocking(False)
+        waiting = []
+        for _ in range(300):
+            with contextlib.suppress(BlockingIOError):
+                peer.send(b"".join(queries) * 500)
+            await anyio.sleep(0.002)
+            waiting.append(len(reader.connection.pending_frames))
+        assert MAX_UNREAD_ANSWERS < max(waiting) <= max_waiting
+
+    run_director(FakeRouter(), scenario)
