Soak: crowds of bad clients and small limits are drawn (version 3 of the draws)

The crowds moved from the tests to the lab. A crowd's requests have ids of their own and are not audited. Not drawn: clients that leave with much unread, ids that come again.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -24,19 +24,24 @@
 
 TOTALS = ("requests", "answered", "served", "attempts", "crossed")
 # versions of the draws; a later one adds to the earlier ones
-FIRST_DRAWS, PLATFORM_DRAWS = 1, 2
+FIRST_DRAWS, PLATFORM_DRAWS, CROWD_DRAWS = 1, 2, 3
 DEFAULT_LOGS = str(Path(tempfile.gettempdir()) / "ironhinge-soak-logs")
 VIOLATIONS = ("lost", "duplicates", "late", "after_client_left", "broken_rules", "crashes")  # must be 0
 
 
 def _run_seed(seed: int, seconds: float, draws: int, logs: str) -> dict[str, Any]:
     """Run one seed and return its report; runs in a process of the pool."""
+    from ironhinge.lab.soak.crowd_draws import add_crowds
     from ironhinge.lab.soak.plan import draw_plan
     from ironhinge.lab.soak.platform_draws import extend_plan
     from ironhinge.lab.soak.run import run_plan
 
     plan = draw_plan(seed, seconds)
-    return run_plan(extend_plan(plan) if draws >= PLATFORM_DRAWS else plan, Path(logs) if logs else None)
+    if draws >= PLATFORM_DRAWS:
+        plan = extend_plan(plan)
+    if draws >= CROWD_DRAWS:
+        plan = add_crowds(plan)
+    return run_plan(plan, Path(logs) if logs else None)
 
 
 def _spin() -> None:
@@ -89,10 +94,11 @@
 )
 @click.option(
     "--draws",
-    type=click.IntRange(FIRST_DRAWS, PLATFORM_DRAWS),
+    type=click.IntRange(FIRST_DRAWS, CROWD_DRAWS),
     default=FIRST_DRAWS,
     show_default=True,
-    help="Version of the draws; 2 adds steps of the platform's clock, slow discovery and coinciding times.",
+    help="Version of the draws; 2 adds steps of the platform's clock, slow discovery and coinciding times, "
+    "3 crowds of bad clients and small limits.",
 )
 @click.option(
     "--logs",
--- a/ironhinge/lab/soak/audit.py
+++ b/ironhinge/lab/soak/audit.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .crowds import CROWD_ID_PREFIX
 from .plan import (
     DRAIN_GRACE,
     GROUPS,
@@ -204,6 +205,8 @@
     def _check_attempt(self, arrival: Arrival) -> None:
         self.result.attempts += 1
         request = self._by_trace.get(arrival.trace)
+        if request is None and self.plan.crowds and arrival.trace.startswith(CROWD_ID_PREFIX):
+            return  # a crowd's requests are not recorded
         if request is None:
             self._add_finding(Rule.UNKNOWN_REQUEST, f"{arrival.node} received unknown trace {arrival.trace}")
             return
--- a/ironhinge/lab/soak/plan.py
+++ b/ironhinge/lab/soak/plan.py
@@ -11,6 +11,8 @@
 from random import Random
 from typing import Any
 
+from .crowds import CrowdKind
+
 # seconds: how long after a notification a director may use a draining node or serve a purged copy; nodes have
 # applied a purge by themselves after the settle time
 DRAIN_GRACE, PURGE_GRACE, PURGE_SETTLE_TIME = 0.5, 0.3, 6.0
@@ -136,6 +138,17 @@
     end_delay: float = 0.0  # additional seconds by which the close of either side is delayed
 
 
+@dataclass(frozen=True, slots=True)
+class CrowdEvent:
+    """A crowd of bad clients at one director."""
+
+    at: float  # seconds since the start of the load
+    duration: float  # seconds
+    kind: CrowdKind
+    director: int
+    connections: int
+
+
 DIRECT_PATH = NetworkPath()  # no proxy
 
 
@@ -162,6 +175,7 @@
     node_weight: int = NODE_WEIGHTS[0]
     memory_limit_mb: int = 192
     event_write_time: float = 0.0  # seconds in which discovery writes each event in pieces; 0: at once
+    crowds: tuple[CrowdEvent, ...] = ()
     has_coinciding_times: bool = False  # client timeouts after which a deadline is the end of a window
 
 
--- a/ironhinge/lab/soak/run.py
+++ b/ironhinge/lab/soak/run.py
@@ -14,13 +14,14 @@
 from typing import Any
 
 from ..errors import DirectorStartError
+from . import crowds
 from .audit import Audit, AuditResult, Finding, Rule
 from .clients import Client, ClientTarget
 from .director_config import known_updates, platform_settings
-from .directors import Director, time_to_kill
+from .directors import Director, die_with_parent, time_to_kill
 from .discovery import Discovery
 from .faults import FaultInjector
-from .plan import DIRECT_PATH, FaultKind, NetworkPath, Plan
+from .plan import DIRECT_PATH, CrowdEvent, FaultKind, NetworkPath, Plan
 from .readiness import hold_idle_connections
 from .records import Notification, NotificationKind, Records
 from .report import build_report
@@ -160,7 +161,8 @@
                 clients.append(asyncio.ensure_future(client.run(deadline)))
             if self.plan.idle_connections:
                 self._tasks.append(asyncio.ensure_future(self._hold_idle_connections(director, deadline)))
-        results = await asyncio.gather(*clients, *faults, return_exceptions=True)
+        bad_clients = [asyncio.ensure_future(self._run_crowd(event)) for event in self.plan.crowds]
+        results = await asyncio.gather(*clients, *faults, *bad_clients, return_exceptions=True)
         for result in results:
             if isinstance(result, BaseException):
                 raise result
@@ -214,6 +216,15 @@
         rng = Random(self.plan.seed)
         await hold_idle_connections(self.plan.idle_connections, port, deadline, rng)
 
+    async def _run_crowd(self, event: CrowdEvent) -> None:
+        """Run a crowd in a process of its own, so that it does not make the recording process late."""
+        await asyncio.sleep(event.at)
+        port = self.directors[event.director].port
+        request_class = self.plan.classes[0].name
+        arguments = crowds.command(event.kind, port, event.connections, event.duration, request_class)
+        process = await asyncio.create_subprocess_exec(*arguments, preexec_fn=die_with_parent)
+        await process.wait()
+
     async def _measure_processes(self) -> None:
         while True:
             for director in self.directors:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -1,15 +1,18 @@
 """Crowds of clients and floods on one connection: memory stays under its limit, and others are answered."""
 
 import signal
+import subprocess
 import threading
 import time
 from pathlib import Path
 
 import pytest
 
+from ironhinge.lab.soak import crowds
+from ironhinge.lab.soak.crowds import CrowdKind, output_of, request
+from ironhinge.lab.soak.wire import FrameType, encode_frame
 from ironhinge.net import client_wire
 
-from .client_crowds import Crowd, frame, peak_memory_mb, request, run_crowd_process
 from .helpers import DirectorProcess, FakeClient, FakeUpstream, configuration, endpoint_config, free_port
 
 CROWD_SECONDS = 2.0  # longer than a client may stall within a frame: the closed ones come again
@@ -26,6 +29,12 @@
     return DirectorProcess(folder, configuration(endpoints, f"127.0.0.1:{free_port()}", limits=limits))
 
 
+def peak_memory_mb(process):
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+    return int(line.split()[1]) / 1024
+
+
 class UsualClient(threading.Thread):
     """A client that sends one request after another, and records their answers and how long they took."""
 
@@ -70,20 +79,20 @@
 
 
 @pytest.mark.parametrize(("memory_mb", "size"), [(64, 900), (32, 340)])
-@pytest.mark.parametrize("crowd", list(Crowd), ids=lambda crowd: crowd.name.lower())
+@pytest.mark.parametrize("kind", [kind for kind in CrowdKind if kind is not CrowdKind.FLOOD])
 def test_crowd_of_bad_clients_does_not_take_the_director_over_its_memory_limit(
-    tmp_path, crowd, memory_mb, size
+    tmp_path, kind, memory_mb, size
 ):
     """The platform killed directors under hundreds of connections that stalled or wrote slowly."""
     upstream = (
-        FakeUpstream(lambda command: None) if crowd is Crowd.OPEN else FakeUpstream(has_all_objects=True)
+        FakeUpstream(lambda command: None) if kind is CrowdKind.OPEN else FakeUpstream(has_all_objects=True)
     )
     director = start_director(tmp_path, upstream, memory_mb)
     try:
         usual = UsualClient(director.port, CROWD_SECONDS + 0.5)
-        run_crowd_process(crowd, director.port, size, CROWD_SECONDS)
+        subprocess.run(crowds.command(kind, director.port, size, CROWD_SECONDS, "film"), check=True)
         usual.join()
-        peak_mb = peak_memory_mb(director.process.pid)
+        peak_mb = peak_memory_mb(director.process)
         assert director.process.poll() is None
     finally:
         director.stop()
@@ -92,17 +101,13 @@
     assert not usual.unanswered
 
 
-def cancelled_requests():
-    return b"".join(request(stream) + frame(9, stream) for stream in range(1, 2000))
-
-
 FLOODS = {
-    "cancelled": cancelled_requests,
+    "cancelled": lambda: output_of(CrowdKind.FLOOD),
     "unknown_class": lambda: b"".join(request(stream, request_class="none") for stream in range(1, 2000)),
     "new_names": lambda: b"".join(
         request(stream, request_class=f"c{stream}", **{f"f{stream}": "1"}) for stream in range(1, 2000)
     ),
-    "readiness": lambda: frame(1, 0, b"\0") * 20_000,
+    "readiness": lambda: encode_frame(FrameType.READINESS_QUERY, 0, b"\0") * 20_000,
 }
 
 
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -7,11 +7,12 @@
 import pytest
 
 from ironhinge.config import Address
+from ironhinge.lab.soak.crowds import request
+from ironhinge.lab.soak.wire import FrameType, encode_frame
 from ironhinge.net.client_connection import ClientConnection
 from ironhinge.net.socket_calls import listen
 from ironhinge.routing import Router
 
-from .client_crowds import frame, request
 from .helpers import (
     DirectorProcess,
     FakeClient,
@@ -32,7 +33,7 @@
 def leave(client, way):
     """Ends the wait for the request on stream 1: by a cancellation, an orderly close or a reset."""
     if way == "cancel":
-        client.sock.sendall(frame(9, 1))
+        client.sock.sendall(encode_frame(FrameType.CANCEL, 1))
     elif way == "close":
         client.sock.close()
     else:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,8 @@
 from ironhinge.lab.errors import MalformedCommandError
 from ironhinge.lab.ports import PortAllocator
 from ironhinge.lab.soak.audit import Audit
+from ironhinge.lab.soak.crowd_draws import add_crowds
+from ironhinge.lab.soak.crowds import CrowdKind
 from ironhinge.lab.soak.plan import FaultKind, draw_plan
 from ironhinge.lab.soak.platform_draws import extend_plan
 from ironhinge.lab.soak.records import (
@@ -307,3 +309,22 @@
     planted = (tmp_path / "ironhinge" / fault.module).read_text()
     assert planted != (ROOT / "ironhinge" / fault.module).read_text()
     compile(planted, fault.module, "exec")
+
+
+def test_a_few_seeds_with_crowds_pass():
+    """Memory was judged at one limit, and no crowd of bad clients was drawn beside a small one."""
+    command = [sys.executable, "-m", "benchmarks.soak", "--draws", "3", "--seeds", "4", "--first", "5"]
+    command += ["--seconds", "6", "--jobs", str(JOBS), "--json"]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stderr[-4000:]
+    assert json.loads(done.stdout.splitlines()[-1])["requests"] > 400
+
+
+def test_crowd_draws_add_to_a_plan_and_leave_its_faults():
+    """Guards recorded seeds, and that small limits and each kind of crowd are drawn."""
+    plans = [extend_plan(draw_plan(seed)) for seed in range(40)]
+    crowded = [add_crowds(plan) for plan in plans]
+    assert crowded == [add_crowds(plan) for plan in plans]
+    assert [plan.fault_events for plan in plans] == [plan.fault_events for plan in crowded]
+    assert {plan.memory_limit_mb for plan in crowded} >= {32, 64, 192}
+    assert {crowd.kind for plan in crowded for crowd in plan.crowds} == set(CrowdKind)
