Memory: what is resident is read outside the network package

If it can't be read, as while descriptors are short, the last figure counts. Run: tests/test_system_calls.py.

--- a/ironhinge/net/memory_account.py
+++ b/ironhinge/net/memory_account.py
@@ -7,12 +7,11 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
-from pathlib import Path
 
+from ..process_memory import resident_bytes
 from .memory_budget import BYTES_PER_MB
 
 RESERVE_SHARE = 0.09  # of the memory limit
@@ -23,18 +22,6 @@
 PRESSURE_SHARE = 0.94  # of the memory limit: from there on nothing more is taken in
 MIN_HELD_SHARE = 0.25  # of what is left after the base; less can't be what the process is short of
 
-STATM = Path("/proc/self/statm")
-RESIDENT_FIELD = 1
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
-
-def resident_bytes() -> int:
-    """Returns the resident memory of this process; 0 if the system does not tell it."""
-    try:
-        return int(STATM.read_text(encoding="ascii").split()[RESIDENT_FIELD]) * PAGE_BYTES
-    except (OSError, ValueError, IndexError):
-        return 0
-
 
 def _nothing() -> int:
     return 0
@@ -81,7 +68,7 @@
 
     def set_base(self) -> None:
         """Takes what is resident now for the base; called once the process is ready to serve."""
-        self.resident = resident_bytes()
+        self.resident = resident_bytes() or 0
         self._headroom = max(0.0, self.limit * (1 - RESERVE_SHARE) - self.resident)
 
     def max_connections(self) -> float:
@@ -121,7 +108,7 @@
 
     def measure(self) -> bool:
         """Measures the resident memory; returns True if it has come under pressure by that."""
-        self.resident = resident_bytes()
+        self.resident = resident_bytes() or self.resident
         was_under_pressure = self.is_under_pressure
         self.is_under_pressure = (
             self.resident > PRESSURE_SHARE * self.limit
