Reading and memory: no pause for a client that is alone, fewer calls a request

Now connections without credit pause only while others with credit are active, and take turns one at a time, so that many of them do not make one long turn of the loop. What is resident is read by the service: the start imports no further package (test_serve_imports_only_packages_that_it_needs failed).

--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -171,7 +171,8 @@
             self._record_usage(message)
             self._on_message(message)
 
-        connection.read_size = max(MIN_READ_SIZE, self.wire.missing_bytes())
+        is_partial = self.wire.has_partial_frame()
+        connection.read_size = max(MIN_READ_SIZE, self.wire.missing_bytes()) if is_partial else MIN_READ_SIZE
 
     def route_later(self, request: OpenRequest) -> None:
         """Makes a request wait for the end of the current turn."""
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -10,7 +10,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
-from time import monotonic
+from time import monotonic, thread_time
 
 import anyio
 from anyio import lowlevel
@@ -20,7 +20,7 @@
 from .connection_protocols import NULL_RECEIVER, ConnectionOwner, NullReceiver, Receiver
 from .frame import Frame, Pieces
 from .frame_writer import FrameWriter
-from .read_pacer import ReadCredit, ReadTurn
+from .read_pacer import MAX_TURN_TIME, ReadCredit
 from .system_calls import Remedy
 
 __all__ = ["NULL_RECEIVER", "Connection", "ConnectionOwner", "Frame", "NullReceiver", "Pieces", "Receiver"]
@@ -123,15 +123,22 @@
             if self.credit is not None and len(self.pending_frames) > MAX_UNREAD_ANSWERS:
                 await anyio.sleep(UNREAD_ANSWERS_PAUSE)
                 continue
-            turn = ReadTurn()
-            remedy = self._read_turn(turn)
+            credit, pacer = self.credit, self.owner.pacer
+            if credit is not None and credit.overdrawn_in >= pacer.interval - 1:
+                async with pacer.overdrawn_turns:
+                    remedy, cost = self._timed_turn()
+                    await lowlevel.checkpoint()
+            else:
+                remedy, cost = self._timed_turn()
             if self.is_closed:
                 return
             if remedy is Remedy.PAUSE:
                 await anyio.sleep(self._next_pause())
             elif self.is_finishing:  # a peer that keeps sending must not use up the CPU
                 await anyio.sleep(DISCARD_INTERVAL)
-            pause = self.owner.pacer.charge(self.credit, turn) if self.credit is not None else 0.0
+            pause = 0.0
+            if credit is not None:
+                pause = pacer.charge(credit, cost)
             if pause:
                 self._end_turn(may_continue=False)
                 await anyio.sleep(pause)
@@ -140,7 +147,13 @@
             else:
                 await lowlevel.checkpoint()
 
-    def _read_turn(self, turn: ReadTurn) -> Remedy:
+    def _timed_turn(self) -> tuple[Remedy, float]:
+        """Takes a turn; returns its result, and the processor time that it took in seconds."""
+        began_at = thread_time()
+        remedy = self._read_turn(began_at)
+        return remedy, thread_time() - began_at
+
+    def _read_turn(self, began_at: float) -> Remedy:
         """Reads until nothing is unread or the turn is over, and writes what that causes.
 
         Returns:
@@ -153,7 +166,7 @@
             if count < self.last_read_size and monotonic() < self.last_empty_at + MAX_EMPTY_AGE:
                 remedy = Remedy.WAIT  # a short read: most probably nothing else is unread
                 break
-            if count < self.last_read_size or turn.is_over():
+            if count < self.last_read_size or thread_time() >= began_at + MAX_TURN_TIME:
                 self._end_turn(may_continue=True)
                 return remedy
         self._end_turn(may_continue=False)
@@ -217,9 +230,9 @@
 
     def read_now(self) -> None:
         """Reads what has arrived at once, for a decision that can't wait until the read loop runs."""
-        turn = ReadTurn()
+        until = thread_time() + MAX_TURN_TIME
         reads = 0
-        while self._may_read_now() and (reads < MIN_IMMEDIATE_READS or not turn.is_over()):
+        while self._may_read_now() and (reads < MIN_IMMEDIATE_READS or thread_time() < until):
             reads += 1
             if self._read_once()[1] is Remedy.WAIT:
                 break
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -23,7 +23,7 @@
 from .descriptor_budget import DescriptorBudget
 from .memory_account import MemoryAccount
 from .read_pacer import ReadPacer
-from .ring_buffer import RingPool
+from .ring_buffer import MAX_KEPT_BYTES, RingPool
 from .socket_calls import SocketCalls
 from .system_calls import Backoff, Call, Remedy
 from .timed_selector import TimedSelector
@@ -99,8 +99,12 @@
             self.unflushed.clear()
             for connection in connections:
                 connection.send_pending()
-            if self.queued_bytes > self.queued_bytes_limit or self.output_bytes() > self.memory.max_output():
-                self._close_largest_queue()
+            if self.queued_bytes or self.rings.lent_bytes > MAX_KEPT_BYTES:
+                self._limit_output()
+
+    def _limit_output(self) -> None:
+        if self.queued_bytes > self.queued_bytes_limit or self.output_bytes() > self.memory.max_output():
+            self._close_largest_queue()
 
     def output_bytes(self) -> int:
         """Returns the bytes that queued output holds, with the rings that are lent for it."""
--- a/ironhinge/net/frame_writer.py
+++ b/ironhinge/net/frame_writer.py
@@ -18,7 +18,7 @@
 from .attempt_end import AttemptEnd
 from .connection_protocols import ConnectionOwner
 from .frame import Frame, Pieces
-from .ring_buffer import EMPTY_RING
+from .ring_buffer import EMPTY_RING, MAX_KEPT_BYTES
 from .system_calls import Backoff, Remedy
 
 MAX_RENDERED_AGE = 0.02  # seconds; an older frame is rendered again before it is sent
@@ -148,7 +148,7 @@
             self.close(AttemptEnd.RESET)
 
     def _release_empty_ring(self) -> None:
-        if not self.outbound.used:
+        if not self.outbound.used and self.owner.rings.lent_bytes > MAX_KEPT_BYTES:
             self._release_ring()
 
     def _release_ring(self) -> None:
--- a/ironhinge/net/memory_account.py
+++ b/ironhinge/net/memory_account.py
@@ -11,14 +11,16 @@
 from dataclasses import dataclass
 from math import inf
 
-from ..process_memory import resident_bytes
 from .memory_budget import BYTES_PER_MB
 
-RESERVE_SHARE = 0.09  # of the memory limit
+RESERVE_SHARE = 0.12  # of the memory limit
 CONNECTION_BYTES = 10_000  # of a connection without input or output
 OPEN_REQUEST_BYTES = 5_000  # of an open request and its attempt, without the body
 CONNECTION_SHARE = 0.6  # of what is left after the base, for connections
 DATA_SHARE = 0.7  # of what connections leave, for bodies and incomplete frames
+AMPLE_SHARE = 0.1  # of what is left after the base
+UNCHECKED_REQUESTS = 100  # let in between two measurements without a check, while there is ample room
+MIN_OUTPUT_SHARE = 0.2  # for output in any case: less would close connections for what others hold
 PRESSURE_SHARE = 0.94  # of the memory limit: from there on nothing more is taken in
 MIN_HELD_SHARE = 0.25  # of what is left after the base; less can't be what the process is short of
 
@@ -27,6 +29,11 @@
     return 0
 
 
+def _unknown() -> int | None:
+    """Returns None; the default of `MemoryAccount.read_resident`."""
+    return None
+
+
 @dataclass(slots=True)
 class MemoryUse:
     """What holds memory: each attribute returns a count, or a number of bytes.
@@ -56,6 +63,7 @@
         resident: Resident bytes when they were last measured.
         is_under_pressure: So much is resident that nothing more is taken in.
         use: What holds memory.
+        read_resident: Returns the resident bytes of this process; None if they are unknown.
     """
 
     def __init__(self, memory_mb: int):
@@ -64,11 +72,13 @@
         self.resident = 0
         self.is_under_pressure = False
         self.use = MemoryUse()
+        self.read_resident: Callable[[], int | None] = _unknown
+        self._unchecked_requests = 0  # that may be let in without a check, as there was ample room
         self._headroom: float = self.limit  # bytes above the base; set once the base is known
 
     def set_base(self) -> None:
         """Takes what is resident now for the base; called once the process is ready to serve."""
-        self.resident = resident_bytes() or 0
+        self.resident = self.read_resident() or 0
         self._headroom = max(0.0, self.limit * (1 - RESERVE_SHARE) - self.resident)
 
     def max_connections(self) -> float:
@@ -89,6 +99,9 @@
 
     def has_room_for_request(self) -> bool:
         """Returns whether one more request may be open."""
+        if self._unchecked_requests:
+            self._unchecked_requests -= 1
+            return True
         held = self._reserved_for_others() + self._held_by_data() + self.use.output_bytes()
         return not self.is_under_pressure and held + OPEN_REQUEST_BYTES <= self._headroom
 
@@ -104,15 +117,17 @@
 
     def max_output(self) -> float:
         """Returns how many bytes of output may be queued."""
-        return self._headroom - self._held_by_data() - self._reserved_for_others()
+        rest = self._headroom - self._held_by_data() - self._reserved_for_others()
+        return max(MIN_OUTPUT_SHARE * self._headroom, rest)
 
     def measure(self) -> bool:
         """Measures the resident memory; returns True if it has come under pressure by that."""
-        self.resident = resident_bytes() or self.resident
+        self.resident = self.read_resident() or self.resident
         was_under_pressure = self.is_under_pressure
+        held = self.held_bytes()
+        self._unchecked_requests = UNCHECKED_REQUESTS if held < AMPLE_SHARE * self._headroom else 0
         self.is_under_pressure = (
-            self.resident > PRESSURE_SHARE * self.limit
-            and self.held_bytes() > MIN_HELD_SHARE * self._headroom
+            self.resident > PRESSURE_SHARE * self.limit and held > MIN_HELD_SHARE * self._headroom
         )
         return self.is_under_pressure and not was_under_pressure
 
--- a/ironhinge/net/ring_buffer.py
+++ b/ironhinge/net/ring_buffer.py
@@ -87,6 +87,7 @@
 
 EMPTY_RING = RingBuffer(0)  # of a connection that holds no bytes
 MAX_SPARE_RINGS = 4  # of each size
+MAX_KEPT_BYTES = 256 * 1024  # while less is lent, a connection keeps its ring for its next output
 
 
 class RingPool:
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -7,10 +7,12 @@
 
 import asyncio
 import gc
+import os
 import signal
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -35,6 +37,9 @@
 LISTEN_TIMEOUT = 2.0  # seconds during which a transient error, such as an address in use, is retried
 LISTEN_RETRY_PAUSE = 0.02  # seconds
 TRANSIENT_REMEDIES = Remedy.PAUSE, Remedy.DESCRIPTORS, Remedy.RETRY
+STATM = Path("/proc/self/statm")
+RESIDENT_FIELD = 1  # of that file, in pages
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 HANDLED_SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1
 
 
@@ -64,6 +69,14 @@
     selector: TimedSelector = field(default_factory=TimedSelector)
 
 
+def resident_bytes() -> int | None:
+    """Returns the resident bytes of this process; None if they are unknown."""
+    try:
+        return int(STATM.read_text(encoding="ascii").split()[RESIDENT_FIELD]) * PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return None
+
+
 async def _restart_on_failure(task: Callable[..., Awaitable[None]], *args: Any) -> None:
     """Runs a task, and starts it again after an exception, which is logged and must not stop other tasks."""
     while True:
@@ -184,6 +197,7 @@
     gc.collect()
     gc.freeze()  # later collections skip the objects that exist now
     gc.set_threshold(*GC_THRESHOLDS)
+    manager.memory.read_resident = resident_bytes
     manager.limit_connections_to_memory()
     logger.info("director_started name={} listen={}:{}", config.name or "director", *config.listen)
     return director, listener
