--- a/ironhinge/lab/soak/crowd_draws.py
+++ b/ironhinge/lab/soak/crowd_draws.py
@@ -5,8 +5,8 @@
 import dataclasses
 from random import Random
 
-from .crowds import CrowdKind
-from .plan import CrowdEvent, Plan
+from .crowds import AbuseKind
+from .plan import AbuseEvent, Plan
 
 CROWD_SEED_OFFSET = 0xC20D
 MEMORY_LIMITS_MB = (32, 48, 64, 96, 192)  # the pages name 32 to 192
@@ -15,7 +15,7 @@
 CLIENT_SHARE = 3  # clients hold a third of the descriptors at most
 OTHER_CONNECTIONS = 30  # of the clients that are audited
 MAX_FLOODS = 4  # connections
-FLOOD_KINDS = (CrowdKind.FLOOD, CrowdKind.UNREAD)
+FLOOD_KINDS = (AbuseKind.FLOOD, AbuseKind.UNREAD)
 
 
 def add_crowds(plan: Plan) -> Plan:
@@ -26,10 +26,10 @@
     size = descriptor_limit // CLIENT_SHARE - OTHER_CONNECTIONS
     crowds = []
     for _ in range(rng.randrange(1, MAX_CROWDS + 1)):
-        kind = rng.choice(list(CrowdKind))
+        kind = rng.choice(list(AbuseKind))
         at, duration = rng.uniform(0.0, 2.0), rng.uniform(2.0, plan.seconds - 2.0)
         connections = rng.randrange(1, MAX_FLOODS + 1) if kind in FLOOD_KINDS else size // MAX_CROWDS
-        crowds.append(CrowdEvent(at, duration, kind, rng.randrange(plan.director_count), connections))
+        crowds.append(AbuseEvent(at, duration, kind, rng.randrange(plan.director_count), connections))
     return dataclasses.replace(
         plan,
         memory_limit_mb=memory_limit_mb,
--- a/ironhinge/lab/soak/crowds.py
+++ b/ironhinge/lab/soak/crowds.py
@@ -32,7 +32,7 @@
 OBJECT_ID_BITS = 64
 
 
-class CrowdKind(StrEnum):
+class AbuseKind(StrEnum):
     """What each client of a crowd does."""
 
     SILENT = "silent"  # connects and says nothing
@@ -44,7 +44,7 @@
     FLOOD = "flood"  # sends requests at full speed, and cancels each at once
 
 
-ENDLESS_KINDS = (CrowdKind.UNREAD, CrowdKind.FLOOD)  # write the same frames again and again
+ENDLESS_KINDS = (AbuseKind.UNREAD, AbuseKind.FLOOD)  # write the same frames again and again
 
 
 def request(
@@ -52,14 +52,14 @@
     body: bytes = b"",
     request_class: str = "film",
     request_id: str = "",
-    patience: str = CLIENT_TIMEOUT_MS,
+    client_timeout_ms: str = CLIENT_TIMEOUT_MS,
     **fields: str,
 ) -> bytes:
     """Encodes a request for a random object, with a random id if none is given."""
     values = {
         "route": request_class,
         "trace": request_id or f"{CROWD_ID_PREFIX}{random.getrandbits(CROWD_ID_BITS):012x}",
-        "patience": patience,
+        "patience": client_timeout_ms,
         "entity": f"{random.getrandbits(OBJECT_ID_BITS):016x}",
         **fields,
     }
@@ -67,23 +67,23 @@
     return encode_frame(FrameType.REQUEST, stream, encoded[HEADER_BYTES:] + body)
 
 
-def output_of(kind: CrowdKind, request_class: str = "film") -> bytes:
+def output_of(kind: AbuseKind, request_class: str = "film") -> bytes:
     """Returns what a client writes on its connection."""
     streams = range(1, MAX_OPEN_REQUESTS + 1)
     output = b""
     match kind:
-        case CrowdKind.SLOW:
+        case AbuseKind.SLOW:
             output = request(1, LARGE_BODY, request_class)
-        case CrowdKind.HALF:
+        case AbuseKind.HALF:
             output = request(1, LARGE_BODY, request_class)[: len(LARGE_BODY) // 2]
-        case CrowdKind.OPEN:
+        case AbuseKind.OPEN:
             output = b"".join(request(stream, MEDIUM_BODY, request_class) for stream in streams)
-        case CrowdKind.FIELDS:
+        case AbuseKind.FIELDS:
             fields = {f"f{number:03x}": "v" for number in range(SHORT_FIELDS)}
             output = b"".join(request(stream, b"", request_class, **fields) for stream in streams)
-        case CrowdKind.UNREAD:
+        case AbuseKind.UNREAD:
             output = encode_frame(FrameType.READINESS_QUERY, 0, b"\0") * REPEATED_FRAMES
-        case CrowdKind.FLOOD:
+        case AbuseKind.FLOOD:
             output = b"".join(
                 request(stream, b"", request_class) + encode_frame(FrameType.CANCEL, stream)
                 for stream in range(1, REPEATED_FRAMES + 1)
@@ -91,10 +91,10 @@
     return output
 
 
-class CrowdClient:
+class AbusiveClient:
     """One connection of a crowd."""
 
-    def __init__(self, kind: CrowdKind, port: int, output: bytes):
+    def __init__(self, kind: AbuseKind, port: int, output: bytes):
         """Starts to connect to the director at that port."""
         self.kind = kind
         self.sock = socket.socket()
@@ -110,7 +110,7 @@
             self._unsent = memoryview(self._output)
         if not self._unsent or now < self._next_write_at:
             return True
-        is_slow = self.kind is CrowdKind.SLOW
+        is_slow = self.kind is AbuseKind.SLOW
         self._next_write_at = now + SLOW_INTERVAL if is_slow else 0.0
         piece = self._unsent[:SLOW_PIECE_BYTES] if is_slow else self._unsent
         try:
@@ -123,7 +123,7 @@
 
     def read(self) -> bool:
         """Drops what has arrived; returns False if the connection has ended."""
-        if self.kind is CrowdKind.UNREAD:
+        if self.kind is AbuseKind.UNREAD:
             return True
         try:
             return bool(self.sock.recv(READ_BYTES))
@@ -133,14 +133,14 @@
             return False
 
 
-def run_crowd(kind: CrowdKind, port: int, size: int, seconds: float, request_class: str) -> None:
+def run_abusive_clients(kind: AbuseKind, port: int, size: int, seconds: float, request_class: str) -> None:
     """Keeps `size` connections open for `seconds`; one that ends is opened again."""
     selector = selectors.DefaultSelector()
-    clients: list[CrowdClient] = []
+    clients: list[AbusiveClient] = []
     until = time.monotonic() + seconds
     while (now := time.monotonic()) < until:
         for _ in range(min(CONNECTS_PER_TURN, size - len(clients))):
-            client = CrowdClient(kind, port, output_of(kind, request_class))
+            client = AbusiveClient(kind, port, output_of(kind, request_class))
             selector.register(client.sock, selectors.EVENT_READ, client)
             clients.append(client)
         ended = {key.data for key, _ in selector.select(POLL_TIMEOUT) if not key.data.read()}
@@ -153,11 +153,13 @@
         client.sock.close()
 
 
-def command(kind: CrowdKind, port: int, size: int, seconds: float, request_class: str) -> list[str]:
+def command(kind: AbuseKind, port: int, size: int, seconds: float, request_class: str) -> list[str]:
     """Returns the command that runs a crowd in a process of its own."""
     arguments = (kind.value, str(port), str(size), str(seconds), request_class)
     return [sys.executable, "-m", "ironhinge.lab.soak.crowds", *arguments]
 
 
 if __name__ == "__main__":
-    run_crowd(CrowdKind(sys.argv[1]), int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4]), sys.argv[5])
+    run_abusive_clients(
+        AbuseKind(sys.argv[1]), int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4]), sys.argv[5]
+    )
--- a/ironhinge/lab/soak/plan.py
+++ b/ironhinge/lab/soak/plan.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from .crowds import CrowdKind
+from .crowds import AbuseKind
 
 # seconds: how long after a notification a director may use a draining node or serve a purged copy; nodes have
 # applied a purge by themselves after the settle time
@@ -139,12 +139,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrowdEvent:
+class AbuseEvent:
     """A crowd of bad clients at one director."""
 
     at: float  # seconds since the start of the load
     duration: float  # seconds
-    kind: CrowdKind
+    kind: AbuseKind
     director: int
     connections: int
 
@@ -175,7 +175,7 @@
     node_weight: int = NODE_WEIGHTS[0]
     memory_limit_mb: int = 192
     event_write_time: float = 0.0  # seconds in which discovery writes each event in pieces; 0: at once
-    crowds: tuple[CrowdEvent, ...] = ()
+    crowds: tuple[AbuseEvent, ...] = ()
     has_coinciding_times: bool = False  # client timeouts after which a deadline is the end of a window
 
 
--- a/ironhinge/lab/soak/run.py
+++ b/ironhinge/lab/soak/run.py
@@ -21,7 +21,7 @@
 from .directors import Director, die_with_parent, time_to_kill
 from .discovery import Discovery
 from .faults import FaultInjector
-from .plan import DIRECT_PATH, CrowdEvent, FaultKind, NetworkPath, Plan
+from .plan import DIRECT_PATH, AbuseEvent, FaultKind, NetworkPath, Plan
 from .readiness import hold_idle_connections
 from .records import Notification, NotificationKind, Records
 from .report import build_report
@@ -161,7 +161,7 @@
                 clients.append(asyncio.ensure_future(client.run(deadline)))
             if self.plan.idle_connections:
                 self._tasks.append(asyncio.ensure_future(self._hold_idle_connections(director, deadline)))
-        bad_clients = [asyncio.ensure_future(self._run_crowd(event)) for event in self.plan.crowds]
+        bad_clients = [asyncio.ensure_future(self._run_abusive_clients(event)) for event in self.plan.crowds]
         results = await asyncio.gather(*clients, *faults, *bad_clients, return_exceptions=True)
         for result in results:
             if isinstance(result, BaseException):
@@ -216,7 +216,7 @@
         rng = Random(self.plan.seed)
         await hold_idle_connections(self.plan.idle_connections, port, deadline, rng)
 
-    async def _run_crowd(self, event: CrowdEvent) -> None:
+    async def _run_abusive_clients(self, event: AbuseEvent) -> None:
         """Run a crowd in a process of its own, so that it does not make the recording process late."""
         await asyncio.sleep(event.at)
         port = self.directors[event.director].port
--- a/ironhinge/net/client_connection.py
+++ b/ironhinge/net/client_connection.py
@@ -15,13 +15,13 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import Protocol
 
 from loguru import logger
 
 from . import client_wire
 from .attempt_end import AttemptEnd
+from .client_states import CloseCause, Phase, Usage
 from .client_timeouts import (
     FRAME_TIMEOUT,
     IDLE_TIMEOUT,
@@ -44,32 +44,6 @@
 MIN_READ_SIZE = 4096  # bytes; more is read at once only of a frame that is longer
 
 
-class Phase(Enum):
-    """How far the close of a connection has progressed."""
-
-    OPEN = "open"
-    ANNOUNCED = "announced"  # GOAWAY was sent; requests are still answered
-    HALF_CLOSED = "half-closed"  # this side is shut down; input is discarded
-
-
-class Usage(Enum):
-    """What a client has used its connection for."""
-
-    NONE = 0  # the client has sent no frame
-    READINESS_ONLY = 1  # the client has sent frames, such as readiness queries, but no request
-    REQUESTS = 2
-
-
-class CloseCause(Enum):
-    """Why the director closes a connection."""
-
-    IDLE = "idle"
-    NEVER_USED = "never_used"
-    CAPACITY = "capacity"  # descriptors are short
-    SHUTDOWN = "shutdown"
-    PROTOCOL_VIOLATION = "protocol_violation"
-
-
 class ClientConnectionOwner(Protocol):
     """The interface that a client connection needs from the director."""
 
@@ -127,7 +101,7 @@
         # admitted in the current turn; they are routed after it, as a cancellation or the end may follow them
         self.unrouted: list[OpenRequest] = []
         self.first_unrouted_at = 0
-        self.routes_after_turn = False  # set once the connection tells the end of its turns
+        self.routes_after_batch = False  # set once the connection tells the end of its turns
         self.connection: Connection
         self.phase = Phase.OPEN
         self.close_cause: CloseCause | None = None
@@ -145,8 +119,8 @@
         Its client may have been silent since before the accept: it could send once it was in the backlog.
         """
         self.connection = connection
-        connection.after_turn = self._route_admitted
-        connection.ends_with_peer = self.routes_after_turn = True
+        connection.after_batch = self._route_admitted
+        connection.ends_with_peer = self.routes_after_batch = True
         connection.read_size = FIRST_READ_SIZE
         connection.credit = ReadCredit()
         self.waiting_since -= int(connection.idle_time_at_accept * SECOND)
@@ -175,7 +149,10 @@
         connection.read_size = max(MIN_READ_SIZE, self.wire.missing_bytes()) if is_partial else MIN_READ_SIZE
 
     def route_later(self, request: OpenRequest) -> None:
-        """Makes a request wait for the end of the current turn."""
+        """Makes a request wait for the end of the current reads, if the connection tells it."""
+        if not self.routes_after_batch:
+            self._owner.route(request)
+            return
         if not self.unrouted:
             self.first_unrouted_at = self._owner.clock.now()
         self.unrouted.append(request)
@@ -192,7 +169,7 @@
         if may_continue and self._owner.clock.now() < self.first_unrouted_at + MAX_ROUTING_DELAY:
             return
         self.unrouted = []
-        if len(requests) > 1 and self.connection.close_if_peer_left():
+        if len(requests) > 1 and self.connection.close_if_peer_closed():
             return
         for request in requests:
             self._owner.route(request)
--- a/ironhinge/net/client_registry.py
+++ b/ironhinge/net/client_registry.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterator
 
-from .client_connection import ClientConnection, CloseCause, Usage
+from .client_connection import ClientConnection
+from .client_states import CloseCause, Usage
 from .client_timeouts import (
     MIN_IDLE_TIME,
     MIN_IDLE_TIME_AFTER_REQUESTS,
--- a/ironhinge/net/client_wire.py
+++ b/ironhinge/net/client_wire.py
@@ -154,6 +154,11 @@
     return frame(RESPONSE, stream, bytes((code,)) + write_fields(fields), body)
 
 
+def retry_after_fields(milliseconds: int) -> dict[str, str]:
+    """Returns the fields of a rejection that tell the client how long to wait; 0: they do not."""
+    return {"pause": str(milliseconds)} if milliseconds else {}
+
+
 def error(text: str) -> tuple[bytes, ...]:
     """Encodes an error that concerns the connection, not one request: a response on stream 0."""
     return answer(0, ABORTED, {}, text.encode())
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -46,8 +46,8 @@
         self.read_size = len(owner.read_buffer)  # the most that is read at once; its receiver may set less
         self.last_read_size = 0  # buffer size of the latest read
         # called after the reads of a turn, with whether another turn follows at once
-        self.after_turn: Callable[[bool], None] | None = None
-        # a peer that has left is of no interest, nor is its unread input; see `close_if_peer_left`
+        self.after_batch: Callable[[bool], None] | None = None
+        # a peer that has left is of no interest, nor is its unread input; see `close_if_peer_closed`
         self.ends_with_peer = False
         self.credit: ReadCredit | None = None  # what its reads are paid from; None: it is never read later
         self.last_empty_at = monotonic()  # the next data read arrived after this; see `empty_until`
@@ -94,7 +94,7 @@
         # frees the buffer and breaks the reference cycle without waiting for the garbage collector
         self._release_ring()
         self.receiver = NULL_RECEIVER
-        self.after_turn = None
+        self.after_batch = None
 
     def _release_socket(self) -> None:
         """Closes the socket once no task waits on it, as its descriptor may be reused immediately."""
@@ -125,11 +125,11 @@
                 continue
             credit, pacer = self.credit, self.owner.pacer
             if credit is not None and credit.overdrawn_in >= pacer.interval - 1:
-                async with pacer.overdrawn_turns:
-                    remedy, cost = self._timed_turn()
+                async with pacer.overdrawn_lock:
+                    remedy, cost = self._timed_batch()
                     await lowlevel.checkpoint()
             else:
-                remedy, cost = self._timed_turn()
+                remedy, cost = self._timed_batch()
             if self.is_closed:
                 return
             if remedy is Remedy.PAUSE:
@@ -140,20 +140,20 @@
             if credit is not None:
                 pause = pacer.charge(credit, cost)
             if pause:
-                self._end_turn(may_continue=False)
+                self._end_batch(may_continue=False)
                 await anyio.sleep(pause)
             elif remedy is Remedy.WAIT:
                 await self._wait_until_readable()
             else:
                 await lowlevel.checkpoint()
 
-    def _timed_turn(self) -> tuple[Remedy, float]:
+    def _timed_batch(self) -> tuple[Remedy, float]:
         """Takes a turn; returns its result, and the processor time that it took in seconds."""
         began_at = thread_time()
-        remedy = self._read_turn(began_at)
+        remedy = self._read_batch(began_at)
         return remedy, thread_time() - began_at
 
-    def _read_turn(self, began_at: float) -> Remedy:
+    def _read_batch(self, started_at: float) -> Remedy:
         """Reads until nothing is unread or the turn is over, and writes what that causes.
 
         Returns:
@@ -166,27 +166,27 @@
             if count < self.last_read_size and monotonic() < self.last_empty_at + MAX_EMPTY_AGE:
                 remedy = Remedy.WAIT  # a short read: most probably nothing else is unread
                 break
-            if count < self.last_read_size or thread_time() >= began_at + MAX_TURN_TIME:
-                self._end_turn(may_continue=True)
+            if count < self.last_read_size or thread_time() >= started_at + MAX_TURN_TIME:
+                self._end_batch(may_continue=True)
                 return remedy
-        self._end_turn(may_continue=False)
+        self._end_batch(may_continue=False)
         return remedy
 
-    def _end_turn(self, may_continue: bool) -> None:
+    def _end_batch(self, may_continue: bool) -> None:
         """Lets the receiver act on what was read, and writes the output.
 
         Args:
             may_continue: More is unread, and will be read in the next turn of the event loop.
         """
-        if self.after_turn is not None and not self.is_closed:
-            self.after_turn(may_continue)
+        if self.after_batch is not None and not self.is_closed:
+            self.after_batch(may_continue)
         self.owner.flush()
 
-    def close_if_peer_left(self) -> bool:
+    def close_if_peer_closed(self) -> bool:
         """Closes the connection if the peer has closed or reset it, though earlier input may be unread."""
         if self.sock is None or self.is_closed:
             return self.is_closed
-        if self.ends_with_peer and self.owner.calls.has_peer_left(self.sock):
+        if self.ends_with_peer and self.owner.calls.is_closed_by_peer(self.sock):
             self.close(AttemptEnd.CLOSED)
         return self.is_closed
 
@@ -222,7 +222,7 @@
 
     def catch_up(self, max_age: float) -> None:
         """Reads what has arrived, unless no data older than `max_age` seconds can be unread."""
-        if self.close_if_peer_left():
+        if self.close_if_peer_closed():
             return
         oldest = monotonic() - max_age
         if self.last_empty_at < oldest and self.empty_until() < oldest:
@@ -236,8 +236,8 @@
             reads += 1
             if self._read_once()[1] is Remedy.WAIT:
                 break
-        if reads and self.after_turn is not None and not self.is_closed:
-            self.after_turn(False)
+        if reads and self.after_batch is not None and not self.is_closed:
+            self.after_batch(False)
 
     def _may_read_now(self) -> bool:
         is_open = self.sock is not None and self.is_connected and not self.is_closed
--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -110,6 +110,10 @@
         """Returns the bytes that queued output holds, with the rings that are lent for it."""
         return self.queued_bytes + self.rings.lent_bytes
 
+    def summary(self) -> str:
+        """Returns what holds memory, the open sockets and the pauses of reading, as key=value fields."""
+        return f"{self.memory.summary()} open_sockets={self.open_sockets} read_pauses={self.pacer.pauses}"
+
     def limit_connections_to_memory(self) -> None:
         """Lowers the descriptor limit to the connections that the memory allows, after the start."""
         self.memory.set_base()
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -65,12 +65,6 @@
 RUNS_PER_SUMMARY = 1200  # one minute
 
 
-def _retry_after_fields(retry_after: int) -> dict[str, str]:
-    """Returns the fields of a rejection that tell the client how long to wait, in ticks; 0: they do not."""
-    pause = retry_after // MILLISECOND
-    return {"pause": str(pause)} if pause else {}
-
-
 class Director:
     """One director instance: its open requests, client connections and upstreams."""
 
@@ -89,12 +83,10 @@
         self.shutdown_deadline: int | None = None  # for all answers; None: not shutting down
         self.admission_deadline: int | None = None  # requests read after that are rejected at once
         self.memory = manager.memory
-        memory_mb, has_room = config.limits.memory_mb, self.memory.has_room_for_data
-        self.request_bodies = MemoryBudget(memory_mb, REQUEST_BODY_SHARE, has_room)
-        self.incomplete_frames = MemoryBudget(memory_mb, INCOMPLETE_FRAME_SHARE, has_room)
-        self.memory.use.requests = lambda: len(self.requests)
-        self.memory.use.body_bytes = lambda: self.request_bodies.used
-        self.memory.use.frame_bytes = lambda: self.incomplete_frames.used
+        memory_mb, can_hold = config.limits.memory_mb, self.memory.can_hold_data
+        self.request_bodies = MemoryBudget(memory_mb, REQUEST_BODY_SHARE, can_hold)
+        self.incomplete_frames = MemoryBudget(memory_mb, INCOMPLETE_FRAME_SHARE, can_hold)
+        self.memory.observe(self.requests, lambda: self.request_bodies, lambda: self.incomplete_frames)
         self.diagnostics = Diagnostics(self.clock)
         self.monitor = LoopMonitor(self.clock)
         self.clients = ClientRegistry(manager, self.clock)
@@ -186,15 +178,12 @@
             text = str(error).encode()
             client.connection.write(client_wire.answer(message.stream, client_wire.ABORTED, {}, text))
             return
-        if not self.memory.has_room_for_request() or not self.request_bodies.reserve(len(request.body)):
+        if not self.memory.can_hold_request() or not self.request_bodies.reserve(len(request.body)):
             self._reject_for_memory(client, request.stream)
             return
         client.open_requests[request.stream] = self.requests[request.request_id] = request
         self.diagnostics.counters["requests"] += 1
-        if client.routes_after_turn:
-            client.route_later(request)
-        else:
-            self.route(request)
+        client.route_later(request)
 
     def route(self, request: OpenRequest) -> None:
         """Passes an admitted request to the router, unless it has ended meanwhile."""
@@ -206,7 +195,7 @@
         self.diagnostics.counters["requests_rejected_for_memory"] += 1
         self.event_log.record(EventKind.REQUEST_REJECTED, f"client {client.number}", "memory")
         pause = min(MEMORY_RETRY_AFTER, self.config.deployment.max_retry_after)
-        fields = _retry_after_fields(pause)
+        fields = client_wire.retry_after_fields(pause // MILLISECOND)
         client.connection.write(client_wire.answer(stream, client_wire.DENIED, fields))
 
     def _open_request(
@@ -331,7 +320,7 @@
     # Commands of the router
 
     def _reject_request(self, command: RejectRequest) -> None:
-        fields = _retry_after_fields(command.retry_after)
+        fields = client_wire.retry_after_fields(command.retry_after // MILLISECOND)
         self.send_final_answer(command.request_id, client_wire.DENIED, fields)
 
     def _fail_request(self, command: FailRequest) -> None:
@@ -382,11 +371,9 @@
     def summary(self) -> str:
         """Returns the counters, open requests and sockets, and the loop lag, as key=value fields."""
         lag_ms = self.monitor.loop_lag / MILLISECOND
-        open_now = f"{self.memory.summary()} open_sockets={self.manager.open_sockets}"
-        open_now += f" request_body_bytes_peak={self.request_bodies.peak}"
-        open_now += f" incomplete_frame_bytes_peak={self.incomplete_frames.peak}"
-        open_now += f" read_pauses={self.manager.pacer.pauses}"
-        return f"{self.diagnostics.summary()} {open_now} loop_lag_ms={lag_ms}"
+        peaks = f"request_body_bytes_peak={self.request_bodies.peak}"
+        peaks += f" incomplete_frame_bytes_peak={self.incomplete_frames.peak} loop_lag_ms={lag_ms}"
+        return f"{self.diagnostics.summary()} {self.manager.summary()} {peaks}"
 
     # Shutdown
 
--- a/ironhinge/net/frame_writer.py
+++ b/ironhinge/net/frame_writer.py
@@ -153,7 +153,7 @@
 
     def _release_ring(self) -> None:
         if self.outbound is not EMPTY_RING:
-            self.owner.rings.give_back(self.outbound)
+            self.owner.rings.release(self.outbound)
             self.outbound = EMPTY_RING
 
     def _send_all(self) -> Remedy:
@@ -225,7 +225,7 @@
 
     def _fill_ring(self) -> None:
         if self.pending_frames and self.outbound is EMPTY_RING:
-            self.outbound = self.owner.rings.take(self._outbound_size)
+            self.outbound = self.owner.rings.acquire(self._outbound_size)
         while self.pending_frames and self.outbound.used < self.outbound.size:
             frame = self.pending_frames[0]
             if frame.ring_start is None:
--- a/ironhinge/net/memory_account.py
+++ b/ironhinge/net/memory_account.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sized
 from dataclasses import dataclass
 from math import inf
 
-from .memory_budget import BYTES_PER_MB
+from .memory_budget import BYTES_PER_MB, MemoryBudget
 
 RESERVE_SHARE = 0.12  # of the memory limit
 CONNECTION_BYTES = 10_000  # of a connection without input or output
@@ -76,6 +76,17 @@
         self._unchecked_requests = 0  # that may be let in without a check, as there was ample room
         self._headroom: float = self.limit  # bytes above the base; set once the base is known
 
+    def observe(
+        self,
+        open_requests: Sized,
+        bodies: Callable[[], MemoryBudget],
+        incomplete_frames: Callable[[], MemoryBudget],
+    ) -> None:
+        """Counts the open requests, their bodies and the incomplete frames of clients."""
+        self.use.requests = lambda: len(open_requests)
+        self.use.body_bytes = lambda: bodies().used
+        self.use.frame_bytes = lambda: incomplete_frames().used
+
     def set_base(self) -> None:
         """Takes what is resident now for the base; called once the process is ready to serve."""
         self.resident = self.read_resident() or 0
@@ -97,7 +108,7 @@
     def _reserved_for_others(self) -> int:
         return self.use.max_connections() * CONNECTION_BYTES + self.use.requests() * OPEN_REQUEST_BYTES
 
-    def has_room_for_request(self) -> bool:
+    def can_hold_request(self) -> bool:
         """Returns whether one more request may be open."""
         if self._unchecked_requests:
             self._unchecked_requests -= 1
@@ -105,7 +116,7 @@
         held = self._reserved_for_others() + self._held_by_data() + self.use.output_bytes()
         return not self.is_under_pressure and held + OPEN_REQUEST_BYTES <= self._headroom
 
-    def has_room_for_data(self, size: int) -> bool:
+    def can_hold_data(self, size: int) -> bool:
         """Returns whether bodies and incomplete frames may hold `size` more bytes.
 
         Some of the rest is left for requests without a body, which then are not rejected for those with one.
--- a/ironhinge/net/memory_budget.py
+++ b/ironhinge/net/memory_budget.py
@@ -20,11 +20,11 @@
         peak: The most bytes that were in use at a time.
     """
 
-    __slots__ = ("_has_room", "limit", "peak", "used")
+    __slots__ = ("_can_hold", "limit", "peak", "used")
 
-    def __init__(self, memory_mb: int, share: float, has_room: Callable[[int], bool] | None = None):
-        """`has_room` tells whether the process as a whole has room for a number of bytes."""
-        self._has_room = has_room
+    def __init__(self, memory_mb: int, share: float, can_hold: Callable[[int], bool] | None = None):
+        """`can_hold` tells whether the process as a whole has room for a number of bytes."""
+        self._can_hold = can_hold
         self.limit = share * memory_mb * BYTES_PER_MB or inf
         self.used = 0
         self.peak = 0
@@ -33,7 +33,7 @@
         """Adds bytes that are needed now; False, without an effect, if the limit does not allow them."""
         if size and self.used + size > self.limit:
             return False
-        if size and self._has_room is not None and not self._has_room(size):
+        if size and self._can_hold is not None and not self._can_hold(size):
             return False
         self.used += size
         self.peak = max(self.peak, self.used)
--- a/ironhinge/net/read_pacer.py
+++ b/ironhinge/net/read_pacer.py
@@ -47,7 +47,7 @@
     Attributes:
         pauses: Pauses so far.
         interval: The number of the interval in which overdrawn connections are counted.
-        overdrawn_turns: Held during a turn by a connection that was overdrawn in this interval or the one
+        overdrawn_lock: Held during a turn by a connection that was overdrawn in this interval or the one
             before: however many there are, only one has a turn before other tasks run.
     """
 
@@ -59,8 +59,8 @@
         self._measured_cpu = thread_time()
         self._busy_until = 0.0  # monotonic seconds
         self.interval = 1
-        self.overdrawn_turns = anyio.Lock()
-        self._interval_began_at = self._measured_at
+        self.overdrawn_lock = anyio.Lock()
+        self._interval_started_at = self._measured_at
         self._overdrawn_count = 0
         self._previous_overdrawn_count = 0
         self._share = 0.0  # of the processor, that each credit fills up with
@@ -103,8 +103,8 @@
         self._measured_at, self._measured_cpu = now, cpu
         if utilization > BUSY_UTILIZATION:
             self._busy_until = now + BUSY_PERIOD
-        if now > self._interval_began_at + COUNT_INTERVAL:
+        if now > self._interval_started_at + COUNT_INTERVAL:
             self.interval += 1
-            self._interval_began_at = now
+            self._interval_started_at = now
             self._previous_overdrawn_count, self._overdrawn_count = self._overdrawn_count, 0
             self._update_share()
--- a/ironhinge/net/ring_buffer.py
+++ b/ironhinge/net/ring_buffer.py
@@ -99,18 +99,18 @@
 
     def __init__(self) -> None:
         self.lent_bytes = 0
-        self._spare: dict[int, list[RingBuffer]] = {}
+        self._free: dict[int, list[RingBuffer]] = {}
 
-    def take(self, size: int) -> RingBuffer:
+    def acquire(self, size: int) -> RingBuffer:
         """Returns an empty ring of that size."""
         self.lent_bytes += size
-        spare = self._spare.get(size)
-        return spare.pop() if spare else RingBuffer(size)
+        free = self._free.get(size)
+        return free.pop() if free else RingBuffer(size)
 
-    def give_back(self, ring: RingBuffer) -> None:
+    def release(self, ring: RingBuffer) -> None:
         """Takes back a ring, whatever it holds."""
         self.lent_bytes -= ring.size
-        spare = self._spare.setdefault(ring.size, [])
-        if len(spare) < MAX_SPARE_RINGS:
+        free = self._free.setdefault(ring.size, [])
+        if len(free) < MAX_SPARE_RINGS:
             ring.consume(ring.used)
-            spare.append(ring)
+            free.append(ring)
--- a/ironhinge/net/socket_calls.py
+++ b/ironhinge/net/socket_calls.py
@@ -161,7 +161,7 @@
             return None
         return int.from_bytes(info[TCP_BACKLOG_LENGTH], sys.byteorder)
 
-    def has_peer_left(self, sock: socket.socket) -> bool:
+    def is_closed_by_peer(self, sock: socket.socket) -> bool:
         """Returns whether the peer has closed or reset the connection, though data may be unread before that.
 
         False if the state of the connection is unknown.
--- a/ironhinge/routing/executed_requests.py
+++ b/ironhinge/routing/executed_requests.py
@@ -16,14 +16,14 @@
 class ExecutedRequests:
     """The ids of ended requests that may have taken effect, in two generations."""
 
-    __slots__ = ("_current", "_current_began_at", "_period", "_previous")
+    __slots__ = ("_current", "_current_started_at", "_period", "_previous")
 
     def __init__(self, longest_client_timeout: int):
         """An id is remembered for at least twice the longest client timeout (ticks)."""
         self._period = max(MIN_PERIOD, 2 * longest_client_timeout)
         self._current: set[str] = set()
         self._previous: set[str] = set()
-        self._current_began_at = 0
+        self._current_started_at = 0
 
     def __len__(self) -> int:
         return len(self._current) + len(self._previous)
@@ -43,9 +43,9 @@
         return len(self) >= MAX_IDS
 
     def _forget_expired(self, now: int) -> None:
-        age = now - self._current_began_at
+        age = now - self._current_started_at
         if age < self._period:
             return
         self._previous = self._current if age < 2 * self._period else set()
         self._current = set()
-        self._current_began_at = now
+        self._current_started_at = now
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -9,7 +9,7 @@
 import pytest
 
 from ironhinge.lab.soak import crowds
-from ironhinge.lab.soak.crowds import CrowdKind, output_of, request
+from ironhinge.lab.soak.crowds import AbuseKind, output_of, request
 from ironhinge.lab.soak.wire import FrameType, encode_frame
 from ironhinge.net import client_wire
 
@@ -79,13 +79,13 @@
 
 
 @pytest.mark.parametrize(("memory_mb", "size"), [(64, 900), (32, 340)])
-@pytest.mark.parametrize("kind", [kind for kind in CrowdKind if kind is not CrowdKind.FLOOD])
+@pytest.mark.parametrize("kind", [kind for kind in AbuseKind if kind is not AbuseKind.FLOOD])
 def test_crowd_of_bad_clients_does_not_take_the_director_over_its_memory_limit(
     tmp_path, kind, memory_mb, size
 ):
     """The platform killed directors under hundreds of connections that stalled or wrote slowly."""
     upstream = (
-        FakeUpstream(lambda command: None) if kind is CrowdKind.OPEN else FakeUpstream(has_all_objects=True)
+        FakeUpstream(lambda command: None) if kind is AbuseKind.OPEN else FakeUpstream(has_all_objects=True)
     )
     director = start_director(tmp_path, upstream, memory_mb)
     try:
@@ -102,7 +102,7 @@
 
 
 FLOODS = {
-    "cancelled": lambda: output_of(CrowdKind.FLOOD),
+    "cancelled": lambda: output_of(AbuseKind.FLOOD),
     "unknown_class": lambda: b"".join(request(stream, request_class="none") for stream in range(1, 2000)),
     "new_names": lambda: b"".join(
         request(stream, request_class=f"c{stream}", **{f"f{stream}": "1"}) for stream in range(1, 2000)
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -83,7 +83,7 @@
         endpoint_config("s-00000002", origin.address, kind="origin"),
     ]
     director = DirectorProcess(tmp_path, configuration(endpoints, f"127.0.0.1:{free_port()}"))
-    sent = {"request_id": f"{0xABC0:016x}", "request_class": "order", "patience": CLIENT_TIMEOUT_MS}
+    sent = {"request_id": f"{0xABC0:016x}", "request_class": "order", "client_timeout_ms": CLIENT_TIMEOUT_MS}
     try:
         first, again = FakeClient(director.port), FakeClient(director.port)
         first.sock.sendall(request(1, **sent))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 from ironhinge.lab.ports import PortAllocator
 from ironhinge.lab.soak.audit import Audit
 from ironhinge.lab.soak.crowd_draws import add_crowds
-from ironhinge.lab.soak.crowds import CrowdKind
+from ironhinge.lab.soak.crowds import AbuseKind
 from ironhinge.lab.soak.plan import FaultKind, draw_plan
 from ironhinge.lab.soak.platform_draws import extend_plan
 from ironhinge.lab.soak.records import (
@@ -327,4 +327,4 @@
     assert crowded == [add_crowds(plan) for plan in plans]
     assert [plan.fault_events for plan in plans] == [plan.fault_events for plan in crowded]
     assert {plan.memory_limit_mb for plan in crowded} >= {32, 64, 192}
-    assert {crowd.kind for plan in crowded for crowd in plan.crowds} == set(CrowdKind)
+    assert {crowd.kind for plan in crowded for crowd in plan.crowds} == set(AbuseKind)
