Discovery: the log says what was followed, when, and what each attempt was decided on

Added: discovery_connected, discovery_caught_up (index, events, time behind), index and origin of each change, reason of a lost connection, the index that each attempt was decided on (debug), fields in the counters, which SIGUSR1 prints too. An empty frame counts as proof of being caught up; one that names a missing event does not, unless nothing follows it.

--- a/ironhinge/net/attempts.py
+++ b/ironhinge/net/attempts.py
@@ -10,6 +10,8 @@
 from functools import partial
 from typing import Protocol
 
+from loguru import logger
+
 from ..config import DirectorConfig, load_report_in_order
 from ..interface import (
     AttemptFinished,
@@ -46,8 +48,13 @@
 RecentAnswer = tuple[RequestReceived, upstream_wire.UpstreamAnswer]
 
 
-def _no_catch_up(max_age: float) -> None:
-    """Does nothing; the default of `Attempts.catch_up_with_discovery`."""
+class DiscoveryView(Protocol):
+    """What `Attempts` uses of the discovery service's events."""
+
+    last_index: int
+
+    def catch_up(self, max_age: float) -> None:
+        """Reads the events that have arrived, unless none older than `max_age` seconds can be unread."""
 
 
 class RequestOwner(Protocol):
@@ -75,8 +82,7 @@
         timers: Schedules the deadlines of operations; set before first use.
         traffic_account: Records attempts, if this extension is in use.
         local_store: Stores copies of answers, if this extension is in use.
-        catch_up_with_discovery: Reads the discovery events that have arrived, unless none older than the
-            given number of seconds can be unread.
+        discovery: The discovery events that have been applied; set before first use.
         recent_answers: Answers that the router may command to store, by request id; cleared once the event
             queue of the decision loop is empty.
     """
@@ -93,7 +99,7 @@
         self.timers: Timers
         self.traffic_account: TrafficAccount | None = None
         self.local_store: LocalCopyStore | None = None
-        self.catch_up_with_discovery: Callable[[float], None] = _no_catch_up
+        self.discovery: DiscoveryView
         self.recent_answers: dict[str, RecentAnswer] = {}
         self._config = config
         self._clock = clock
@@ -116,6 +122,14 @@
         request.attempt = attempt
         request.attempt_count += 1
         self._diagnostics.counters[ATTEMPTS_STARTED] += 1
+        logger.debug(
+            "attempt_started request={} number={} upstream={} source={} discovery_index={}",
+            request.request_id,
+            attempt.attempt_number,
+            attempt.upstream.id,
+            source.id if source is not None else "-",
+            self.discovery.last_index,
+        )
         if self.traffic_account is not None:
             source_id = source.id if source is not None else ""
             self.traffic_account.on_attempt_started(now, request.received, command, source_id)
@@ -177,7 +191,7 @@
         whose command is partly sent is not ended here: its connection sends the rest, or closes.
         """
         attempt.request.client.connection.catch_up(MAX_UNREAD_AGE)
-        self.catch_up_with_discovery(MAX_UNREAD_AGE)
+        self.discovery.catch_up(MAX_UNREAD_AGE)
         now = self._clock.now()
         is_over = attempt.request.is_closed or now >= attempt.deadline
         if not attempt.is_finished and (is_over or attempt.is_past_start_deadline(now)):
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -94,7 +94,7 @@
         self.attempts = Attempts(config, self.clock, self.monitor, self.diagnostics, self)
         self.pool = UpstreamPool(manager, config.transport, self.clock, self)
         self.discovery = Discovery(config, manager, self.pool, self.clock, self)
-        self.attempts.catch_up_with_discovery = self.discovery.catch_up
+        self.attempts.discovery = self.discovery
         self.gossip = Gossip(config, manager.calls, self)
         router = Router(config.deployment, config.seed)
         self.decision_loop = DecisionLoop(
@@ -373,7 +373,8 @@
         lag_ms = self.monitor.loop_lag / MILLISECOND
         peaks = f"request_body_bytes_peak={self.request_bodies.peak}"
         peaks += f" incomplete_frame_bytes_peak={self.incomplete_frames.peak} loop_lag_ms={lag_ms}"
-        return f"{self.diagnostics.summary()} {self.manager.summary()} {peaks}"
+        discovery = self.discovery.progress.summary(self.discovery.last_index)
+        return f"{self.diagnostics.summary()} {self.manager.summary()} {discovery} {peaks}"
 
     # Shutdown
 
--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -26,6 +27,7 @@
 from .clock import SECOND, Clock
 from .connection_manager import ConnectionManager
 from .discovery_connection import DiscoveryConnection
+from .discovery_progress import DiscoveryProgress
 from .discovery_wire import Keepalive
 from .endpoint_addresses import EndpointAddresses
 from .extensions import LocalCopyStore, TrafficAccount
@@ -42,6 +44,14 @@
 MAX_WRITE_INTERVAL_MS = 1000  # longest interval between two frames of the service
 
 
+class ChangeOrigin(StrEnum):
+    """Where a change of the endpoint list was learned from."""
+
+    CONFIGURATION = "configuration"
+    RELOAD = "reload"
+    DISCOVERY = "discovery"
+
+
 class PurgeIdentity(NamedTuple):
     """What a purge names: the same in a configuration and in the event, whatever index it has there."""
 
@@ -54,6 +64,12 @@
     return PurgeIdentity(update.object_id, update.group, update.unix_ms)
 
 
+def _set_state(upstream: Upstream, state: EndpointState, cause: str) -> None:
+    if state is not upstream.state:
+        logger.info("upstream_state_changed upstream={} state={} {}", upstream.id, state, cause)
+    upstream.state = state
+
+
 class DiscoveryListener(Protocol):
     """Receives the discovery events."""
 
@@ -70,6 +86,7 @@
     Attributes:
         last_index: Index of the last event applied.
         connection: The current connection; None before the first.
+        progress: How far the events of the service have been followed.
         traffic_account: Records endpoint list updates, if this extension is in use.
         local_store: Records purges and the progress of discovery, if this extension is in use.
     """
@@ -84,6 +101,7 @@
     ):
         self.last_index = 0
         self.connection: DiscoveryConnection | None = None
+        self.progress = DiscoveryProgress(clock)
         self.traffic_account: TrafficAccount | None = None
         self.local_store: LocalCopyStore | None = None
         self._config = config
@@ -100,18 +118,35 @@
         """Records that all events up to `now` have been received."""
         self._caught_up_at = now
 
+    def on_discovery_connected(self) -> None:
+        """Records that the connection to the configured address was established."""
+        if self._config.discovery_address is not None:
+            self.progress.on_connected(self._config.discovery_address, self.last_index)
+
+    def on_discovery_bytes(self) -> None:
+        """Records that bytes have arrived."""
+        self.progress.on_bytes()
+
     def apply_known(self) -> None:
         """Applies the endpoint list of the configuration, before any client is served."""
         for update in self._config.known:
-            self.apply(update)
+            self._apply_event(update, ChangeOrigin.CONFIGURATION)
         self.last_index = max(self.last_index, self._config.known_index)
 
     def apply(self, update: DiscoveryUpdate | Keepalive) -> None:
-        """Applies one event, unless it was applied already."""
+        """Applies one event that has arrived, unless it was applied already."""
         if self.local_store is not None:
             # frames arrive in order: events older than the longest interval between two have been received
             self.local_store.on_discovery_progress(self._clock.unix_ms() - MAX_WRITE_INTERVAL_MS)
-        if isinstance(update, Keepalive) or update.event_index <= self.last_index:
+        if isinstance(update, Keepalive):
+            self.set_caught_up(self._clock.now())
+            self.progress.on_keepalive(update.number, self.last_index)
+            return
+        self.progress.on_event()
+        self._apply_event(update, ChangeOrigin.DISCOVERY)
+
+    def _apply_event(self, update: DiscoveryUpdate, origin: ChangeOrigin) -> None:
+        if update.event_index <= self.last_index:
             return
         self.last_index = update.event_index
         if isinstance(update, PurgeUpdate):
@@ -120,7 +155,7 @@
             else:
                 self._apply_purge(update)
         elif update.event_index > self._reloaded_list_index:
-            self._apply_list(update)
+            self._apply_list(update, origin)
 
     def _apply_reloaded(self, config: DirectorConfig) -> None:
         """Applies the known events of a reloaded configuration, if it knows some that have not arrived.
@@ -135,16 +170,16 @@
             return
         for update in config.known:
             if isinstance(update, EndpointListUpdate):
-                self._apply_list(update)
+                self._apply_list(update, ChangeOrigin.RELOAD)
             elif update.event_index > self.last_index and _identity(update) not in self._reloaded_purges:
                 self._reloaded_purges.add(_identity(update))
                 self._apply_purge(update)
         self._reloaded_list_index = config.known_index
         logger.info("config_events_applied index={}", config.known_index)
 
-    def _apply_list(self, update: EndpointListUpdate) -> None:
+    def _apply_list(self, update: EndpointListUpdate, origin: ChangeOrigin) -> None:
         update = self._addresses.resolve(update)
-        event = EndpointsUpdated(update.is_full, self._apply_endpoints(update))
+        event = EndpointsUpdated(update.is_full, self._apply_endpoints(update, origin))
         if self.traffic_account is not None:
             self.traffic_account.on_endpoints_updated(self._clock.now(), event)
         self._listener.report(event)
@@ -163,27 +198,26 @@
         else:
             self._listener.withdraw_unsent(lambda attempt: attempt.request.received.object_id == object_id)
 
-    def _apply_endpoints(self, update: EndpointListUpdate) -> tuple[Endpoint, ...]:
-        endpoints = tuple(self._apply_record(record) for record in update.records)
+    def _apply_endpoints(self, update: EndpointListUpdate, origin: ChangeOrigin) -> tuple[Endpoint, ...]:
+        cause = f"index={update.event_index} origin={origin}"
+        endpoints = tuple(self._apply_record(record, cause) for record in update.records)
         listed = {endpoint.id for endpoint in endpoints}
         for upstream in self._pool.upstreams.values():
             if update.is_full and upstream.id not in listed:
-                upstream.state = EndpointState.REMOVED
+                _set_state(upstream, EndpointState.REMOVED, cause)
             if upstream.state is EndpointState.REMOVED:
                 upstream.retire()
         return endpoints
 
-    def _apply_record(self, record: EndpointRecord) -> Endpoint:
+    def _apply_record(self, record: EndpointRecord, cause: str) -> Endpoint:
         endpoint, address, started_unix_ms = record
         upstream = self._pool.upstreams.get(endpoint.id)
         if upstream is None:
             upstream = self._pool.add(endpoint.id, address)
         elif upstream.address != address or upstream.is_restarted(started_unix_ms):
             upstream.retire()  # a new process replaced the one that these connections lead to
-        if endpoint.state is not upstream.state:
-            logger.info("upstream_state_changed upstream={} state={}", endpoint.id, endpoint.state)
         upstream.address = address
-        upstream.state = endpoint.state
+        _set_state(upstream, endpoint.state, cause)
         self._record_start(upstream, started_unix_ms)
         return endpoint._replace(started_at=upstream.started_at if started_unix_ms else 0)
 
@@ -214,8 +248,14 @@
             current = self.connection = DiscoveryConnection(self, self._clock)
             current.connection = self._manager.connect(current, address, timeout, may_use_reserve=True)
             await self._wait_until_closed(current)
+            self.progress.on_connection_lost()
             if self._config.discovery_address == address:
-                logger.warning("discovery_connection_lost address={}:{}", *address)
+                logger.warning(
+                    "discovery_connection_lost address={}:{} reason={} index={}",
+                    *address,
+                    current.end.name.lower(),
+                    self.last_index,
+                )
                 pause = MIN_RECONNECT_PAUSE if current.has_received else min(MAX_RECONNECT_PAUSE, 2 * pause)
                 await anyio.sleep(with_jitter(pause))
 
--- a/ironhinge/net/discovery_connection.py
+++ b/ironhinge/net/discovery_connection.py
@@ -27,8 +27,11 @@
     def apply(self, update: DiscoveryUpdate | discovery_wire.Keepalive) -> None:
         """Applies one event, unless it was applied already."""
 
-    def set_caught_up(self, now: int) -> None:
-        """Records that all events up to `now` have been received."""
+    def on_discovery_connected(self) -> None:
+        """Records that the connection was established."""
+
+    def on_discovery_bytes(self) -> None:
+        """Records that bytes have arrived, before they are decoded."""
 
 
 class DiscoveryConnection:
@@ -36,6 +39,7 @@
 
     def __init__(self, receiver: UpdateReceiver, clock: Clock):
         self.closed = anyio.Event()
+        self.end = AttemptEnd.CLOSED  # how the connection ended, once it is closed
         self.has_received = False
         self.last_received_at = clock.now()  # when connecting began or the last data arrived
         self._frame_started_at = self.last_received_at  # when the latest frame began to arrive
@@ -46,11 +50,13 @@
 
     def on_connected(self, connection: Connection) -> None:
         """Requests the events after the last one applied."""
+        self._receiver.on_discovery_connected()
         connection.write((discovery_wire.encode_hello(self._receiver.last_index),))
 
     def on_data(self, connection: Connection, data: memoryview) -> None:
         """Decodes events and applies them in order; closes the connection if they can't be parsed."""
         self.last_received_at = self._clock.now()
+        self._receiver.on_discovery_bytes()
         had_partial_frame = self._wire.has_partial_frame()
         updates, error = self._wire.feed(data)
         if updates or not had_partial_frame:
@@ -58,8 +64,6 @@
         for update in updates:
             self.has_received = True
             self._receiver.apply(update)
-            if isinstance(update, discovery_wire.Keepalive):
-                self._receiver.set_caught_up(self.last_received_at)
         if error is not None:
             logger.warning("discovery_unparsable error={}", error)
             connection.close(AttemptEnd.UNPARSABLE)
@@ -71,4 +75,5 @@
 
     def on_closed(self, connection: Connection, end: AttemptEnd) -> None:
         """Wakes the task that waits for the end of the connection."""
+        self.end = end
         self.closed.set()
--- a/ironhinge/net/discovery_wire.py
+++ b/ironhinge/net/discovery_wire.py
@@ -40,7 +40,9 @@
 
 
 class Keepalive(NamedTuple):
-    """Shows that the discovery service is alive and has no new events."""
+    """Shows that the discovery service is alive and had no new events when it wrote the frame."""
+
+    number: int  # the protocol does not say what it means; services use the index of the last event, or 0
 
 
 DiscoveryEvent = Keepalive | EndpointListUpdate | PurgeUpdate
@@ -73,7 +75,7 @@
     payload = data[HEADER_BYTES:]
     match kind:
         case FrameKind.KEEPALIVE:
-            return Keepalive()
+            return Keepalive(index)
         case FrameKind.FULL_LIST | FrameKind.LIST_CHANGES:
             if len(payload) % ENDPOINT_RECORD.size:
                 raise UnparsableError(
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -98,8 +98,8 @@
 def run(service: Service) -> None:
     """Serves until SIGTERM or SIGINT, then shuts down gracefully.
 
-    SIGHUP reads the configuration again; SIGUSR1 writes the latest events of connections and requests to the
-    log.
+    SIGHUP reads the configuration again; SIGUSR1 writes the counters and the latest events of connections
+    and requests to the log.
     """
     options = {"loop_factory": lambda: asyncio.SelectorEventLoop(service.selector)}
     anyio.run(_serve, service, backend_options=options)
@@ -125,13 +125,18 @@
 ) -> None:
     async for number in signals:
         if number == signal.SIGUSR1:
-            director.event_log.dump("SIGUSR1")
+            _log_status(director)
         elif number == signal.SIGHUP:
             _reload(director, service)
         else:
             return
 
 
+def _log_status(director: Director) -> None:
+    logger.info("counters {}", director.summary())
+    director.event_log.dump("SIGUSR1")
+
+
 def _reload(director: Director, service: Service) -> None:
     account = service.extensions.traffic_account
     if account is not None:
@@ -146,7 +151,7 @@
     """Handles SIGUSR1 during shutdown; SIGHUP and a second SIGTERM or SIGINT are ignored."""
     async for number in signals:
         if number == signal.SIGUSR1:
-            director.event_log.dump("SIGUSR1")
+            _log_status(director)
 
 
 async def _listen(address: Address) -> socket.socket:
--- /dev/null
+++ b/tests/test_initial_sync.py
@@ -0,0 +1,232 @@
+"""A director that starts routes no request before it has applied what the discovery service held."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from .helpers import (
+    TIMEOUT_SECONDS,
+    FakeClient,
+    FakeServer,
+    FakeUpstream,
+    configuration,
+    endpoint_config,
+    endpoint_record,
+    free_port,
+    receive_exactly,
+)
+
+READY, DRAINING, REMOVED = 0, 1, 2  # states of an endpoint on the wire
+KEEPALIVE, FULL_LIST, LIST_CHANGES, PURGE_OBJECT, PURGE_GROUP = 0, 1, 2, 3, 4  # kinds of frames
+KEEPALIVE_INTERVAL = 1.0  # seconds; the protocol's
+KNOWN_INDEX = 1  # of the endpoint list in the configuration
+LOAD_SECONDS = 1.0  # for which clients send, from the first connection on
+CLIENTS = 4
+
+
+def frame(index, kind, payload=b""):
+    """Encodes a frame of the discovery service."""
+    data = index.to_bytes(8, "big") + bytes([kind]) + payload
+    return len(data).to_bytes(4, "big") + data
+
+
+def frames(events):
+    """Encodes events (kind, payload), numbered from the one after the configuration's list."""
+    return [frame(KNOWN_INDEX + 1 + i, kind, payload) for i, (kind, payload) in enumerate(events)]
+
+
+class BacklogCoordinator(FakeServer):
+    """A discovery service that holds events from before the director's start.
+
+    Args:
+        events: The events, as frames.
+        delay: Seconds after which the first byte of the events is written.
+        piece_bytes: Bytes that are written at a time; 0: whole events.
+        pause: Seconds between two writes.
+    """
+
+    def __init__(self, events, delay=0.0, piece_bytes=0, pause=0.0):
+        self.events, self.delay, self.piece_bytes, self.pause = events, delay, piece_bytes, pause
+        self.connected_at = []  # monotonic seconds
+        super().__init__()
+
+    def serve(self, connection):
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connected_at.append(time.monotonic())
+        last_index = int.from_bytes(receive_exactly(connection, 8), "big")
+        time.sleep(self.delay)
+        data = b"".join(self.events[last_index - KNOWN_INDEX :])
+        size = self.piece_bytes or len(data) or 1
+        pieces = [data[start : start + size] for start in range(0, len(data), size)]
+        for piece in self.events if self.pause and not self.piece_bytes else pieces:
+            connection.sendall(piece)
+            time.sleep(self.pause)
+        next_keepalive_at = self.connected_at[-1] + KEEPALIVE_INTERVAL
+        while True:
+            time.sleep(max(0.0, next_keepalive_at - time.monotonic()))
+            next_keepalive_at += KEEPALIVE_INTERVAL
+            connection.sendall(frame(KNOWN_INDEX + len(self.events), KEEPALIVE))
+
+
+class SilentCoordinator(FakeServer):
+    """A discovery service that takes connections and sends the same few bytes at intervals, or nothing."""
+
+    def __init__(self, data=b"", interval=1.0):
+        self.data, self.interval = data, interval
+        super().__init__()
+
+    def serve(self, connection):
+        while True:
+            time.sleep(self.interval)
+            if self.data:
+                connection.sendall(self.data)
+
+
+class StartingDirector:
+    """A director whose start is not waited for."""
+
+    def __init__(self, folder, config):
+        self.port = int(config["listen"].split(":")[1])
+        self.log_path = folder / "log"
+        self.config_path = folder / "config.json"
+        self.config_path.write_text(json.dumps(config))
+        env = {**os.environ, "PROXY_CONFIG": str(self.config_path)}
+        self.started_at = time.monotonic()
+        command = [sys.executable, "-m", "ironhinge", "serve", "--log-level", "debug"]
+        with self.log_path.open("w") as log:
+            self.process = subprocess.Popen(command, env=env, stderr=log)
+
+    def connect(self):
+        """Returns a client once the director listens."""
+        while time.monotonic() < self.started_at + TIMEOUT_SECONDS:
+            assert self.process.poll() is None, self.log_text()
+            with contextlib.suppress(ConnectionRefusedError):
+                return FakeClient(self.port)
+            time.sleep(0.002)
+        raise AssertionError(self.log_text())
+
+    def log_text(self):
+        return self.log_path.read_text()
+
+    def log_lines(self, name):
+        """Returns the fields of each log line of an event."""
+        lines = [line.split() for line in self.log_text().splitlines()]
+        return [
+            dict(field.split("=", 1) for field in line[3:] if "=" in field)
+            for line in lines
+            if len(line) > 2 and line[2] == name
+        ]
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+
+
+class Site:
+    """Four caches, two of which change before the director's start; a director; and clients."""
+
+    def __init__(self, folder, make_coordinator):
+        self.upstreams = [FakeUpstream(has_all_objects=True) for _ in range(4)]
+        self.ids = [f"s-{int(upstream.address.split(':')[1]):08x}" for upstream in self.upstreams]
+        self.changed = self.upstreams[2:]
+        self.coordinator = make_coordinator(self)
+        endpoints = [
+            endpoint_config(name, upstream.address)
+            for name, upstream in zip(self.ids, self.upstreams, strict=True)
+        ]
+        listen = f"127.0.0.1:{free_port()}"
+        self.config = configuration(endpoints, listen, coordinator=self.coordinator.address)
+        self.director = StartingDirector(folder, self.config)
+        self.codes = []
+
+    def records(self, state):
+        """Encodes the two changed endpoints with a state."""
+        return b"".join(
+            endpoint_record(name, upstream.address, state)
+            for name, upstream in zip(self.ids[2:], self.changed, strict=True)
+        )
+
+    def send_requests(self, seconds=LOAD_SECONDS):
+        """Sends requests from the first moment at which the director takes a connection."""
+        threads = [threading.Thread(target=self._run_client, args=(seconds,)) for _ in range(CLIENTS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert self.codes.count(1) > 20, self.director.log_text()
+        assert set(self.codes) == {1}
+
+    def _run_client(self, seconds):
+        client = self.director.connect()
+        end = time.monotonic() + seconds
+        entity = 0
+        while time.monotonic() < end:
+            entity += 1
+            stream = client.send_request(entity=f"{id(client) + entity:016x}")
+            self.codes.append(client.read_answer(stream)[0])
+
+    def requests_to_changed(self):
+        return sum(len(upstream.request_ids) for upstream in self.changed)
+
+    def stop(self):
+        self.director.stop()
+        for server in (*self.upstreams, self.coordinator):
+            with contextlib.suppress(OSError):
+                server.close_and_reset()
+
+
+@pytest.fixture
+def start_site(tmp_path):
+    """Returns a function that starts a site with a coordinator."""
+    sites = []
+
+    def start(make_coordinator):
+        sites.append(Site(tmp_path, make_coordinator))
+        return sites[-1]
+
+    yield start
+    for site in sites:
+        site.stop()
+
+
+def purges(count):
+    return [(PURGE_OBJECT, struct.pack(">QQ", i, int(time.time() * 1000))) for i in range(count)]
+
+
+def changes(site, state):
+    return (LIST_CHANGES, site.records(state))
+
+
+def test_log_says_when_discovery_was_followed_and_what_each_attempt_was_decided_on(start_site):
+    """An operators' report could not be answered: no line said what discovery had told, and when."""
+    site = start_site(lambda site: BacklogCoordinator(frames([*purges(2), changes(site, DRAINING)])))
+    client = site.director.connect()
+    while not site.director.log_lines("discovery_caught_up"):
+        time.sleep(0.02)
+    client.read_answer(client.send_request())
+    (connected,) = site.director.log_lines("discovery_connected")
+    assert connected["address"] == site.coordinator.address
+    assert connected["after_index"] == str(KNOWN_INDEX)
+    (caught_up,) = site.director.log_lines("discovery_caught_up")
+    assert (caught_up["index"], caught_up["events"]) == ("4", "3")
+    assert 0 < float(caught_up["since_start_s"]) < 1.5
+    changed = site.director.log_lines("upstream_state_changed")
+    assert [(line["state"], line["index"], line["origin"]) for line in changed] == 2 * [
+        ("draining", "4", "discovery")
+    ]
+    attempt = site.director.log_lines("attempt_started")[-1]
+    assert attempt["discovery_index"] == "4"
+    assert attempt["upstream"] in site.ids[:2]
+    site.director.process.send_signal(signal.SIGUSR1)
+    while not site.director.log_lines("counters"):
+        time.sleep(0.02)
+    assert site.director.log_lines("counters")[0]["discovery_stage"] == "synced"
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -84,7 +84,9 @@
     def apply(self, update):
         self.append(update)
 
-    def set_caught_up(self, now): ...
+    def on_discovery_connected(self): ...
+
+    def on_discovery_bytes(self): ...
 
 
 def play(pieces, pause):
