--- a/tests/test_initial_sync.py
+++ b/tests/test_initial_sync.py
@@ -206,6 +206,40 @@
     return (LIST_CHANGES, site.records(state))
 
 
+def full_list_without_changed(site):
+    records = b"".join(
+        endpoint_record(name, upstream.address, READY)
+        for name, upstream in zip(site.ids[:2], site.upstreams[:2], strict=True)
+    )
+    return (FULL_LIST, records)
+
+
+BACKLOGS = {  # how the coordinator tells that two of four endpoints drain or are gone
+    "at once": lambda site: BacklogCoordinator(frames([changes(site, DRAINING)])),
+    "0.05 s late": lambda site: BacklogCoordinator(frames([changes(site, DRAINING)]), delay=0.05),
+    "0.5 s late": lambda site: BacklogCoordinator(frames([changes(site, DRAINING)]), delay=0.5),
+    "1.5 s late": lambda site: BacklogCoordinator(frames([changes(site, DRAINING)]), delay=1.5),
+    "one by one": lambda site: BacklogCoordinator(frames([*purges(43), changes(site, DRAINING)]), pause=0.02),
+    "in pieces": lambda site: BacklogCoordinator(
+        frames([changes(site, DRAINING)]), piece_bytes=7, pause=0.05
+    ),
+    "deleted": lambda site: BacklogCoordinator(frames([changes(site, REMOVED)]), delay=0.5),
+    "full list without them": lambda site: BacklogCoordinator(
+        frames([full_list_without_changed(site)]), delay=0.5
+    ),
+    "behind purges": lambda site: BacklogCoordinator(frames([*purges(3000), changes(site, DRAINING)])),
+    "twice": lambda site: BacklogCoordinator(2 * frames([changes(site, DRAINING)]), delay=0.2),
+}
+
+
+@pytest.mark.parametrize("told", BACKLOGS)
+def test_no_request_reaches_an_endpoint_whose_drain_discovery_held_before_the_start(start_site, told):
+    """Requests went to draining servers right after a start: the backlog of discovery was still unread."""
+    site = start_site(BACKLOGS[told])
+    site.send_requests()
+    assert site.requests_to_changed() == 0
+
+
 def test_log_says_when_discovery_was_followed_and_what_each_attempt_was_decided_on(start_site):
     """An operators' report could not be answered: no line said what discovery had told, and when."""
     site = start_site(lambda site: BacklogCoordinator(frames([*purges(2), changes(site, DRAINING)])))
