Start: no connection is taken before all that discovery held is applied

Cause: the port opened before the first event of discovery was read; nothing waited for the backlog.

Why it works: frames come in order and an empty one means nothing new, so once it is read every older event is applied; only then the port opens. Bounded: 2 s where discovery can't be reached, 3.5 s where it is silent, 4 s where it sends; then a warning, a counter, and it serves from its configuration. SIGTERM in the wait ends at once with 0, SIGHUP is followed. The time since which the backlog is empty now starts when the port opens. The tests' coordinator now sends an empty frame after its updates, as the protocol's does.

--- a/ironhinge/net/connection_manager.py
+++ b/ironhinge/net/connection_manager.py
@@ -227,6 +227,10 @@
 
     # Accepting
 
+    def on_listening(self) -> None:
+        """Records that the listener has just been opened: no connection entered its backlog before."""
+        self.backlog_empty_at = monotonic()
+
     async def accept(
         self,
         listener: socket.socket,
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -25,6 +25,7 @@
 from .connection_manager import ConnectionManager
 from .director import Director
 from .extensions import BackgroundRunner, LocalCopyStore, TrafficAccount
+from .initial_sync import wait_for_initial_sync
 from .shutdown import drain
 from .socket_calls import listen, open_datagram_socket
 from .system_calls import Call, Remedy, remedy_for
@@ -106,20 +107,64 @@
 
 
 async def _serve(service: Service) -> None:
-    extensions = service.extensions
     with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         async with anyio.create_task_group() as tasks:
-            director, listener = await _start(service, tasks)
-            if extensions.runner is not None:
-                tasks.start_soon(_restart_on_failure, extensions.runner.run)
-            await _handle_signals_until_shutdown(signals, director, service)
-            tasks.start_soon(_handle_signals_while_draining, signals, director)
-            await drain(director, listener)
-            extensions.close()
+            director = _start(service, tasks)
+            if await _may_serve(signals, director, service):
+                await _serve_clients(signals, director, service)
+            service.extensions.close()
             tasks.cancel_scope.cancel()
 
 
+async def _may_serve(signals: AsyncIterator[signal.Signals], director: Director, service: Service) -> bool:
+    """Waits for the discovery service before clients are served; returns whether no shutdown came first."""
+    if service.config.discovery_address is None:
+        return True
+    is_shutdown = False
+
+    async def wait_for_discovery() -> None:
+        """Waits, and then ends the handling of signals."""
+        if not await wait_for_initial_sync(director.discovery.progress, director.clock):
+            director.diagnostics.counters["starts_before_caught_up"] += 1
+        waiting.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as waiting:
+        waiting.start_soon(wait_for_discovery)
+        await _handle_signals_until_shutdown(signals, director, service)
+        is_shutdown = True
+        waiting.cancel_scope.cancel()
+    if is_shutdown:
+        logger.info("shutdown_before_serving {}", director.summary())
+    return not is_shutdown
+
+
+async def _serve_clients(
+    signals: AsyncIterator[signal.Signals], director: Director, service: Service
+) -> None:
+    """Accepts clients until SIGTERM or SIGINT, then shuts down gracefully."""
+    manager = director.manager
+    _limit_resources(manager)
+    listener = await _listen(service.config.listen)
+    manager.on_listening()
+    logger.info(
+        "director_started name={} listen={}:{}", service.config.name or "director", *service.config.listen
+    )
+    tasks = manager.task_group
+    tasks.start_soon(
+        _restart_on_failure,
+        manager.accept,
+        listener,
+        lambda: ClientConnection(director),
+        director.clients.reclaim_descriptor,
+    )
+    if service.extensions.runner is not None:
+        tasks.start_soon(_restart_on_failure, service.extensions.runner.run)
+    await _handle_signals_until_shutdown(signals, director, service)
+    tasks.start_soon(_handle_signals_while_draining, signals, director)
+    await drain(director, listener)
+
+
 async def _handle_signals_until_shutdown(
     signals: AsyncIterator[signal.Signals], director: Director, service: Service
 ) -> None:
@@ -171,8 +216,8 @@
     return listen(address)
 
 
-async def _start(service: Service, tasks: TaskGroup) -> tuple[Director, socket.socket]:
-    """Creates the director and starts its tasks; the router gets the endpoints before clients connect."""
+def _start(service: Service, tasks: TaskGroup) -> Director:
+    """Creates the director and starts its tasks, except that it takes no connections yet."""
     config, extensions = service.config, service.extensions
     manager = ConnectionManager(tasks, config.limits, service.selector)
     director = Director(config, manager, extensions.traffic_account, extensions.local_store, service.clock)
@@ -184,7 +229,6 @@
     if config.gossip_listen is not None:
         director.gossip.sock = open_datagram_socket(config.gossip_listen)
     director.start()
-    listener = await _listen(config.listen)
     for task in (
         director.run_timers,
         director.run_maintenance,
@@ -192,17 +236,13 @@
         director.gossip.receive_loop,
     ):
         tasks.start_soon(_restart_on_failure, task)
-    tasks.start_soon(
-        _restart_on_failure,
-        manager.accept,
-        listener,
-        lambda: ClientConnection(director),
-        director.clients.reclaim_descriptor,
-    )
+    return director
+
+
+def _limit_resources(manager: ConnectionManager) -> None:
+    """Excludes the objects of the start from garbage collection; limits connections by the memory left."""
     gc.collect()
-    gc.freeze()  # later collections skip the objects that exist now
+    gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     manager.memory.read_resident = resident_bytes
     manager.limit_connections_to_memory()
-    logger.info("director_started name={} listen={}:{}", config.name or "director", *config.listen)
-    return director, listener
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -586,6 +586,8 @@
 class FakeCoordinator(FakeServer):
     """The discovery service: sends each subscriber all updates after the index that it subscribed with.
 
+    An empty frame follows the updates that exist then; later ones would end a silence that tests rely on.
+
     Attributes:
         subscriptions: Queue of the subscriptions: last known index, connection.
         updates: The published updates: index, encoded update.
@@ -597,23 +599,35 @@
 
     def serve(self, connection):
         known_index = int.from_bytes(receive_exactly(connection, 8), "big")
-        self.subscriptions.put((known_index, connection))
+        first_index = known_index
+        known_index = self._send_updates(connection, known_index)
+        connection.sendall(self._encode_frame(known_index, 0, b""))
+        self.subscriptions.put((first_index, connection))
         while True:
             with self.updates_changed:
                 while not self.updates or self.updates[-1][0] <= known_index:
                     self.updates_changed.wait()
-                new_updates = [data for index, data in self.updates if index > known_index]
-                known_index = self.updates[-1][0]
-            for data in new_updates:
-                connection.sendall(data)
+            known_index = self._send_updates(connection, known_index)
+
+    def _send_updates(self, connection, known_index):
+        """Sends the updates after an index; returns the index of the last one that the subscriber has."""
+        with self.updates_changed:
+            updates = [(index, data) for index, data in self.updates if index > known_index]
+        for _, data in updates:
+            connection.sendall(data)
+        return updates[-1][0] if updates else known_index
 
     def publish(self, index, kind, body):
         """Sends an update to all subscribers, and to later ones that don't have it yet."""
-        payload = index.to_bytes(8, "big") + bytes([kind]) + body
         with self.updates_changed:
-            self.updates.append((index, len(payload).to_bytes(4, "big") + payload))
+            self.updates.append((index, self._encode_frame(index, kind, body)))
             self.updates_changed.notify_all()
 
+    @staticmethod
+    def _encode_frame(index, kind, body):
+        payload = index.to_bytes(8, "big") + bytes([kind]) + body
+        return len(payload).to_bytes(4, "big") + payload
+
 
 def endpoint_record(endpoint_id, address, state):
     """Encodes an endpoint as in an update from the coordinator."""
--- a/tests/test_initial_sync.py
+++ b/tests/test_initial_sync.py
@@ -29,6 +29,8 @@
 KEEPALIVE, FULL_LIST, LIST_CHANGES, PURGE_OBJECT, PURGE_GROUP = 0, 1, 2, 3, 4  # kinds of frames
 KEEPALIVE_INTERVAL = 1.0  # seconds; the protocol's
 KNOWN_INDEX = 1  # of the endpoint list in the configuration
+READY_LIMIT = 6.0  # seconds from the start of the process
+MAX_DIFFERENCE = 6  # requests to cold endpoints beyond those where their start is told at once
 LOAD_SECONDS = 1.0  # for which clients send, from the first connection on
 CLIENTS = 4
 
@@ -52,10 +54,12 @@
         delay: Seconds after which the first byte of the events is written.
         piece_bytes: Bytes that are written at a time; 0: whole events.
         pause: Seconds between two writes.
+        keepalive_interval: Seconds between two empty frames.
     """
 
-    def __init__(self, events, delay=0.0, piece_bytes=0, pause=0.0):
+    def __init__(self, events, delay=0.0, piece_bytes=0, pause=0.0, keepalive_interval=KEEPALIVE_INTERVAL):
         self.events, self.delay, self.piece_bytes, self.pause = events, delay, piece_bytes, pause
+        self.keepalive_interval = keepalive_interval
         self.connected_at = []  # monotonic seconds
         super().__init__()
 
@@ -70,25 +74,26 @@
         for piece in self.events if self.pause and not self.piece_bytes else pieces:
             connection.sendall(piece)
             time.sleep(self.pause)
-        next_keepalive_at = self.connected_at[-1] + KEEPALIVE_INTERVAL
+        next_keepalive_at = self.connected_at[-1] + self.keepalive_interval
         while True:
             time.sleep(max(0.0, next_keepalive_at - time.monotonic()))
-            next_keepalive_at += KEEPALIVE_INTERVAL
+            next_keepalive_at += self.keepalive_interval
             connection.sendall(frame(KNOWN_INDEX + len(self.events), KEEPALIVE))
 
 
 class SilentCoordinator(FakeServer):
     """A discovery service that takes connections and sends the same few bytes at intervals, or nothing."""
 
-    def __init__(self, data=b"", interval=1.0):
+    def __init__(self, data=b"", interval=1.0, first_after=None):
         self.data, self.interval = data, interval
+        self.first_after = interval if first_after is None else first_after
         super().__init__()
 
     def serve(self, connection):
+        time.sleep(self.first_after)
         while True:
+            connection.sendall(self.data)
             time.sleep(self.interval)
-            if self.data:
-                connection.sendall(self.data)
 
 
 class StartingDirector:
@@ -206,6 +211,21 @@
     return (LIST_CHANGES, site.records(state))
 
 
+def starts(site):
+    """Returns an event by which the changed endpoints have just started."""
+    now_ms = int(time.time() * 1000)
+    names_and_ports = [
+        (name, int(upstream.address.split(":")[1]))
+        for name, upstream in zip(site.ids[2:], site.changed, strict=True)
+    ]
+    loopback = socket.inet_aton("127.0.0.1")
+    records = [
+        struct.pack(">I4sHBBBHIQ", int(name[2:], 16), loopback, port, READY, 0, 0, 0, 20000, now_ms)
+        for name, port in names_and_ports
+    ]
+    return (LIST_CHANGES, b"".join(records))
+
+
 def full_list_without_changed(site):
     records = b"".join(
         endpoint_record(name, upstream.address, READY)
@@ -264,3 +284,125 @@
     while not site.director.log_lines("counters"):
         time.sleep(0.02)
     assert site.director.log_lines("counters")[0]["discovery_stage"] == "synced"
+
+
+@pytest.mark.parametrize(
+    ("keepalive_interval", "limit"),
+    [(0.01, 0.1), (KEEPALIVE_INTERVAL, 1.2)],
+)
+def test_port_opens_soon_after_discovery_has_told_all(start_site, keepalive_interval, limit):
+    """A start must not take longer than it has to: 0.1 s where the proof comes at once, else 1.2 s."""
+
+    def coordinator(site):
+        return BacklogCoordinator(frames([changes(site, DRAINING)]), keepalive_interval=keepalive_interval)
+
+    site = start_site(coordinator)
+    site.director.connect()
+    assert time.monotonic() - site.coordinator.connected_at[0] < limit
+
+
+class RefusingCoordinator:
+    """No discovery service: connections to its address are refused."""
+
+    def __init__(self):
+        self.address = f"127.0.0.1:{free_port()}"
+
+    def close_and_reset(self): ...
+
+
+UNANSWERING = {  # discovery services that never tell what they hold, and the stage that is logged
+    "refuses": (lambda site: RefusingCoordinator(), "unreachable"),
+    "says nothing": (lambda site: SilentCoordinator(), "silent"),
+    "stops within a frame": (
+        lambda site: SilentCoordinator(frames([changes(site, DRAINING)])[0][:20], 60.0, first_after=0.05),
+        "receiving",
+    ),
+    "a byte a second": (lambda site: SilentCoordinator(b"\0", 1.0), "receiving"),
+}
+
+
+@pytest.mark.parametrize("coordinator", UNANSWERING)
+def test_director_serves_in_time_though_discovery_does_not_answer(start_site, coordinator):
+    """A wait for discovery without an end would keep directors from their clients through its outage."""
+    make_coordinator, stage = UNANSWERING[coordinator]
+    site = start_site(make_coordinator)
+    client = site.director.connect()
+    assert client.is_ready()
+    assert time.monotonic() - site.director.started_at < READY_LIMIT
+    assert client.read_answer(client.send_request())[0] == 1
+    (warning,) = site.director.log_lines("serving_before_caught_up")
+    assert warning["stage"] == stage
+    site.director.process.send_signal(signal.SIGUSR1)
+    while not site.director.log_lines("counters"):
+        time.sleep(0.02)
+    assert site.director.log_lines("counters")[0]["starts_before_caught_up"] == "1"
+
+
+def test_sigterm_while_discovery_is_awaited_ends_the_process_at_once(start_site):
+    """Nothing has been taken on in this phase, so nothing has to be waited for."""
+    site = start_site(lambda site: SilentCoordinator())
+    while not site.director.log_lines("discovery_connected"):
+        time.sleep(0.01)
+    terminated_at = time.monotonic()
+    site.director.process.terminate()
+    assert site.director.process.wait(TIMEOUT_SECONDS) == 0
+    assert time.monotonic() - terminated_at < 1.0
+    assert not site.director.log_lines("director_started")
+
+
+def test_sighup_while_discovery_is_awaited_moves_the_director_to_the_new_address(start_site):
+    """A reload in the first second is followed, and the new address has to tell before clients come."""
+    site = start_site(lambda site: SilentCoordinator())
+    while not site.director.log_lines("discovery_connected"):
+        time.sleep(0.01)
+    moved = BacklogCoordinator(frames([changes(site, DRAINING)]), delay=0.3)
+    site.config["coordinator"] = moved.address
+    site.director.config_path.write_text(json.dumps(site.config))
+    site.director.process.send_signal(signal.SIGHUP)
+    site.send_requests()
+    assert site.requests_to_changed() == 0
+    assert not site.director.log_lines("serving_before_caught_up")
+
+
+def test_purge_that_discovery_held_before_the_start_limits_the_age_of_copies(start_site):
+    """Requests right after a start accepted copies from before a purge that was still unread."""
+    purge = (PURGE_GROUP, struct.pack(">HQ", 17, int(time.time() * 1000)))
+    site = start_site(lambda site: BacklogCoordinator(frames([purge]), delay=0.5))
+    site.send_requests()
+    commands = [command for upstream in site.upstreams for command in list(upstream.commands.queue)]
+    limits = [fields.get("accept") for verb, _, fields, _ in commands if verb == "want"]
+    assert len(limits) > 20
+    assert None not in limits
+
+
+def test_endpoint_that_discovery_told_to_have_just_started_gets_slow_start(start_site):
+    """Right after a start cold servers got full load: that they had just started was still unread."""
+
+    def told(delay):
+        site = start_site(lambda site: BacklogCoordinator(frames([starts(site)]), delay=delay))
+        site.send_requests()
+        return site.requests_to_changed()
+
+    assert told(0.5) <= told(0.0) + MAX_DIFFERENCE
+
+
+def test_address_that_passes_to_a_new_endpoint_in_the_backlog_is_used_for_that_one_alone(start_site):
+    """The drain of the old endpoint at an address may be told before or after the start of the new one."""
+    new_ids = ["s-000000f1", "s-000000f2"]
+
+    def records(site, ids, state):
+        addresses = [upstream.address for upstream in site.changed]
+        return (LIST_CHANGES, b"".join(map(endpoint_record, ids, addresses, (state, state))))
+
+    for old_first in (True, False):
+
+        def backlog(site, old_first=old_first):
+            events = [records(site, site.ids[2:], DRAINING), records(site, new_ids, READY)]
+            return BacklogCoordinator(frames(events if old_first else events[::-1]), delay=0.2)
+
+        site = start_site(backlog)
+        site.send_requests()
+        upstreams = {line["upstream"] for line in site.director.log_lines("attempt_started")}
+        assert not upstreams & set(site.ids[2:])
+        assert upstreams & set(new_ids)
+        site.stop()
