Disk tier: progress of discovery counts only once its backlog has been read

What callers saw (operators' disk tier on): a copy from before a purge was served from disk while the purge was in the backlog that was just being read, after an outage and after a restart. Cause: Discovery.apply told the tier with each frame that all purges up to a second ago were known, which the first of many late events does not show; a newly opened tier took discovery for seen.

Why it works: progress is told while the connection is caught up, and nothing is served before the first.

--- a/ironhinge/disk/tier.py
+++ b/ironhinge/disk/tier.py
@@ -148,7 +148,8 @@
         self._write_needed = anyio.Event()
         self._pending_produced_at: dict[PartKey, int] = {}  # Unix ms, of queued copies
         self._progress_recorded_at = 0
-        self._discovery_seen_at = context.now()
+        # nothing is served before the first progress: purges of the time before the start may be unread
+        self._discovery_seen_at = context.now() - _MAX_DISCOVERY_SILENCE - 1
         self._recovery_ms = (context.now() - started_at) / _TICKS_PER_MS
         fields = " ".join(f"{name}={value}" for name, value in self.store.status().items())
         logger.info("store_opened {}", fields)
--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -135,15 +135,15 @@
 
     def apply(self, update: DiscoveryUpdate | Keepalive) -> None:
         """Applies one event that has arrived, unless it was applied already."""
-        if self.local_store is not None:
-            # frames arrive in order: events older than the longest interval between two have been received
-            self.local_store.on_discovery_progress(self._clock.unix_ms() - MAX_WRITE_INTERVAL_MS)
         if isinstance(update, Keepalive):
             self.set_caught_up(self._clock.now())
             self.progress.on_keepalive(update.number, self.last_index)
-            return
-        self.progress.on_event()
-        self._apply_event(update, ChangeOrigin.DISCOVERY)
+        else:
+            self.progress.on_event()
+            self._apply_event(update, ChangeOrigin.DISCOVERY)
+        if self.local_store is not None and self.progress.is_current:
+            # frames arrive in order: events older than the longest interval between two have been received
+            self.local_store.on_discovery_progress(self._clock.unix_ms() - MAX_WRITE_INTERVAL_MS)
 
     def _apply_event(self, update: DiscoveryUpdate, origin: ChangeOrigin) -> None:
         if update.event_index <= self.last_index:
