--- a/ironhinge/cli.py
+++ b/ironhinge/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import sys
 from collections.abc import Callable
@@ -224,6 +225,7 @@
     On SIGHUP, the configuration and the operations files are read again: a new address of the discovery
     service is used, and new settings are applied as a whole, or not at all if any of them is invalid.
     """
+    gc.disable()  # a start makes no garbage; `run` enables it
     from .net.clock import Clock
     from .net.service import Service, block_signals, run
 
--- a/ironhinge/net/service.py
+++ b/ironhinge/net/service.py
@@ -244,5 +244,6 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
     manager.memory.read_resident = resident_bytes
     manager.limit_connections_to_memory()
