Reading: an admitted request is routed though its connection waits for a turn

Cause: what is admitted is routed at the end of a turn, and the next turn of an overdrawn connection waits for a lock that all of them share; no timer runs for a request that is not routed. Evidence: with the lock held by force a request was not routed within 20 s (the new test, failed), now within 0.1 s. Why it works: the wait for the lock is cut at 20 ms, what is admitted is routed, then the connection goes on waiting.

--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -30,6 +30,7 @@
 # open requests, and a readiness query or two.
 MAX_UNREAD_ANSWERS = 64
 UNREAD_ANSWERS_PAUSE = 0.02  # seconds
+MAX_TURN_WAIT = 0.02  # seconds for which what was read waits for the next turn of its connection
 DISCARD_INTERVAL = 0.01  # seconds between reads of data that is discarded
 MAX_EMPTY_AGE = 0.03  # seconds; if a connection was last known to be empty earlier, a short read is repeated
 
@@ -125,9 +126,12 @@
                 continue
             credit, pacer = self.credit, self.owner.pacer
             if credit is not None and credit.overdrawn_in >= pacer.interval - 1:
-                async with pacer.overdrawn_lock:
+                await self._wait_for_turn(pacer.overdrawn_lock)
+                try:
                     remedy, cost = self._timed_batch()
                     await lowlevel.checkpoint()
+                finally:
+                    pacer.overdrawn_lock.release()
             else:
                 remedy, cost = self._timed_batch()
             if self.is_closed:
@@ -147,6 +151,14 @@
             else:
                 await lowlevel.checkpoint()
 
+    async def _wait_for_turn(self, lock: anyio.Lock) -> None:
+        """Acquires the lock; lets the receiver act on what was read if others hold it for long."""
+        with anyio.move_on_after(MAX_TURN_WAIT) as scope:
+            await lock.acquire()
+        if scope.cancelled_caught:
+            self._end_batch(may_continue=False)
+            await lock.acquire()
+
     def _timed_batch(self) -> tuple[Remedy, float]:
         """Takes a turn; returns its result, and the processor time that it took in seconds."""
         began_at = thread_time()
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -29,6 +29,7 @@
 
 REQUESTS = 32
 ANSWER_DELAY = 0.5  # seconds
+MAX_UNROUTED = 0.1  # seconds
 CLIENT_TIMEOUT_MS = "3000"
 
 
@@ -128,3 +129,32 @@
     assert not executions
     assert code == 3  # a failure: a rejection would say that it may be sent again
     assert "Traceback" not in log
+
+
+def test_admitted_request_does_not_wait_unrouted_for_the_turns_of_other_clients(monkeypatch):
+    """Admitted requests waited for their connection's turn among hundreds: answers were late."""
+    monkeypatch.setattr("ironhinge.net.connection.MAX_TURN_TIME", 0.0)  # each read is a turn of its own
+    upstream = FakeUpstream(has_all_objects=True)
+
+    async def scenario(director, client, wait_until):
+        listener = listen(Address("127.0.0.1", 0))
+        pacer = director.manager.pacer
+        with socket.socket() as peer:
+            peer.connect(listener.getsockname())
+            director.manager.adopt(listener.accept()[0], ClientConnection(director))
+            (connection,) = director.manager.connections
+            admit = director.admit
+
+            def admit_and_overdraw(*arguments):
+                connection.credit.overdrawn_in = pacer.interval + 1000
+                admit(*arguments)
+
+            director.admit = admit_and_overdraw
+            peer.sendall(b"".join(request(stream, bytes(7000)) for stream in range(1, REQUESTS + 1)))
+            async with pacer.overdrawn_lock:  # another connection's turn, and those of many after it
+                await wait_until(lambda: director.diagnostics.counters["requests"] > 0)
+                waits_since = time.monotonic()
+                await wait_until(lambda: director.diagnostics.counters["attempts_started"] > 0)
+                assert time.monotonic() - waits_since < MAX_UNROUTED
+
+    run_director(Router, scenario, (upstream, upstream))
