--- a/tests/test_initial_sync.py
+++ b/tests/test_initial_sync.py
@@ -57,11 +57,24 @@
         piece_bytes: Bytes that are written at a time; 0: whole events.
         pause: Seconds between two writes.
         keepalive_interval: Seconds between two empty frames.
+        keepalive_number: Number of the empty frames; None: that of the last event.
     """
 
-    def __init__(self, events, delay=0.0, piece_bytes=0, pause=0.0, keepalive_interval=KEEPALIVE_INTERVAL):
+    is_keepalive_first = False  # an empty frame comes before the events, with the number of the last one
+
+    def __init__(
+        self,
+        events,
+        delay=0.0,
+        piece_bytes=0,
+        pause=0.0,
+        keepalive_interval=KEEPALIVE_INTERVAL,
+        keepalive_number=None,
+    ):
         self.events, self.delay, self.piece_bytes, self.pause = events, delay, piece_bytes, pause
         self.keepalive_interval = keepalive_interval
+        last_index = KNOWN_INDEX + len(events)
+        self.keepalive = frame(last_index if keepalive_number is None else keepalive_number, KEEPALIVE)
         self.connected_at = []  # monotonic seconds
         super().__init__()
 
@@ -69,6 +82,8 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connected_at.append(time.monotonic())
         last_index = int.from_bytes(receive_exactly(connection, 8), "big")
+        if self.is_keepalive_first:
+            connection.sendall(self.keepalive)
         time.sleep(self.delay)
         data = b"".join(self.events[last_index - KNOWN_INDEX :])
         size = self.piece_bytes or len(data) or 1
@@ -80,7 +95,13 @@
         while True:
             time.sleep(max(0.0, next_keepalive_at - time.monotonic()))
             next_keepalive_at += self.keepalive_interval
-            connection.sendall(frame(KNOWN_INDEX + len(self.events), KEEPALIVE))
+            connection.sendall(self.keepalive)
+
+
+class EagerCoordinator(BacklogCoordinator):
+    """A discovery service whose empty frames come by the clock, also before the events that they name."""
+
+    is_keepalive_first = True
 
 
 class SilentCoordinator(FakeServer):
@@ -250,6 +271,9 @@
         frames([full_list_without_changed(site)]), delay=0.5
     ),
     "behind purges": lambda site: BacklogCoordinator(frames([*purges(3000), changes(site, DRAINING)])),
+    "behind an empty frame that names it": lambda site: EagerCoordinator(
+        frames([changes(site, DRAINING)]), delay=0.5
+    ),
     "twice": lambda site: BacklogCoordinator(2 * frames([changes(site, DRAINING)]), delay=0.2),
 }
 
@@ -303,6 +327,21 @@
     assert time.monotonic() - site.coordinator.connected_at[0] < limit
 
 
+@pytest.mark.parametrize("number", [0, 2**40])
+def test_number_of_an_empty_frame_that_means_nothing_does_not_keep_the_director_from_serving(
+    start_site, number
+):
+    """The protocol does not say which number an empty frame has: no start may wait for an event for that."""
+
+    def coordinator(site):
+        return BacklogCoordinator(frames([changes(site, DRAINING)]), keepalive_number=number)
+
+    site = start_site(coordinator)
+    site.director.connect()
+    assert time.monotonic() - site.coordinator.connected_at[0] < 1.2 + KEEPALIVE_INTERVAL
+    assert not site.director.log_lines("serving_before_caught_up")
+
+
 class RefusingCoordinator:
     """No discovery service: connections to its address are refused."""
 
@@ -448,3 +487,29 @@
     site.send_requests(seconds=2.5)
     assert received_at
     assert max(received_at) < site.coordinator.asked_again_at + PURGE_GRACE
+
+
+def test_source_whose_drain_discovery_held_before_the_start_fills_nothing(tmp_path):
+    """The rule on drains covers the sources of fills, which are named in commands to other servers."""
+    caches, parents, origin = [FakeUpstream()], [FakeUpstream(), FakeUpstream()], FakeUpstream()
+    ids = [f"s-000000b{number}" for number in range(2)]
+    endpoints = [endpoint_config("s-000000a0", caches[0].address)]
+    endpoints += [
+        endpoint_config(name, parent.address, kind="parent")
+        for name, parent in zip(ids, parents, strict=True)
+    ]
+    endpoints.append(endpoint_config("s-000000c0", origin.address, kind="origin"))
+    record = bytearray(endpoint_record(ids[1], parents[1].address, DRAINING))
+    record[11], record[12] = 1, 1  # zone and kind, of a parent
+    coordinator = BacklogCoordinator(frames([(LIST_CHANGES, bytes(record))]), delay=0.3)
+    listen = f"127.0.0.1:{free_port()}"
+    director = StartingDirector(tmp_path, configuration(endpoints, listen, coordinator=coordinator.address))
+    try:
+        client = director.connect()
+        for entity in range(1, 60):
+            client.read_answer(client.send_request(entity=f"{entity:016x}"))
+        named = {fields.get("parent") for _, _, fields, _ in list(caches[0].commands.queue)}
+    finally:
+        director.stop()
+    assert ids[0] in named
+    assert ids[1] not in named
