--- a/ironhinge/lab/soak/discovery.py
+++ b/ironhinge/lab/soak/discovery.py
@@ -10,7 +10,7 @@
 
 from ..ports import PortAllocator
 from . import wire
-from .plan import BacklogDelivery, BacklogTelling
+from .plan import BacklogDelivery, BacklogPattern
 from .records import Notification, NotificationKind, Records
 from .servers import Node
 from .sockets import reset_connection
@@ -80,7 +80,7 @@
         self._listens_since = 0.0
         self._event_write_time = delivery.event_write_time
         self._backlog = delivery.backlog
-        self._told_processes: set[int] = set()  # numbers of those that have connected
+        self._connected_processes: set[int] = set()  # numbers of those that have connected
         self._events: list[_Event] = []
         self._server: asyncio.Server | None = None
         self._notified: set[tuple[int, _Event]] = set()  # by number of the director's process
@@ -209,7 +209,7 @@
         if (self.incarnation(), event) not in self._notified:
             self._record_notification(event)
 
-    async def _tell_backlog(
+    async def _write_backlog(
         self, writer: asyncio.StreamWriter, last_seen: int, backlog: BacklogDelivery
     ) -> int:
         """Write the events that exist after `last_seen` as the plan says; return the number of the last."""
@@ -217,19 +217,19 @@
         for event in events:
             self._record_notification(event)
         pieces = [event.data for event in events]
-        match backlog.telling:
-            case BacklogTelling.LATE:
+        match backlog.pattern:
+            case BacklogPattern.LATE:
                 await asyncio.sleep(backlog.delay)
                 pieces = [b"".join(pieces)]
-            case BacklogTelling.IN_PIECES:
+            case BacklogPattern.IN_PIECES:
                 data = b"".join(pieces)
                 size = max(1, len(data) // MAX_BACKLOG_PIECES)
                 pieces = [data[start : start + size] for start in range(0, len(data), size)]
-            case BacklogTelling.ONE_BY_ONE:
+            case BacklogPattern.ONE_BY_ONE:
                 pieces = [b"".join(pieces[:-MAX_BACKLOG_PIECES]), *pieces[-MAX_BACKLOG_PIECES:]]
             case _:
                 pieces = [b"".join(pieces)]
-        is_slow = backlog.telling in (BacklogTelling.IN_PIECES, BacklogTelling.ONE_BY_ONE)
+        is_slow = backlog.pattern in (BacklogPattern.IN_PIECES, BacklogPattern.ONE_BY_ONE)
         for piece in pieces:
             writer.write(piece)
             if is_slow:
@@ -239,12 +239,12 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             (last_seen,) = struct.unpack(">Q", await reader.readexactly(8))
-            if self._backlog is not None and self.incarnation() not in self._told_processes:
-                self._told_processes.add(self.incarnation())
-                if self._backlog.telling is BacklogTelling.SILENT:
+            if self._backlog is not None and self.incarnation() not in self._connected_processes:
+                self._connected_processes.add(self.incarnation())
+                if self._backlog.pattern is BacklogPattern.SILENT:
                     await reader.read()  # until the director closes the connection
                     return
-                last_seen = await self._tell_backlog(writer, last_seen, self._backlog)
+                last_seen = await self._write_backlog(writer, last_seen, self._backlog)
             self._writers[writer] = last_seen
             while writer in self._writers and not writer.is_closing():
                 if self._event_write_time:
--- a/ironhinge/lab/soak/plan.py
+++ b/ironhinge/lab/soak/plan.py
@@ -149,7 +149,7 @@
     connections: int
 
 
-class BacklogTelling(StrEnum):
+class BacklogPattern(StrEnum):
     """How discovery tells a process what it held when that connected for the first time."""
 
     AT_ONCE = "at once"
@@ -164,7 +164,7 @@
     """Events that discovery holds from before the start of a process, and how it tells them."""
 
     config_age: float  # seconds from the writing of the configuration to the start of the process
-    telling: BacklogTelling
+    pattern: BacklogPattern
     delay: float  # seconds until the first byte, if it is late
     duration: float  # seconds in which all events are written, in pieces or one by one
     purges_before: int  # purges of objects that nobody requests, ahead of the other events
--- a/ironhinge/lab/soak/start_draws.py
+++ b/ironhinge/lab/soak/start_draws.py
@@ -10,7 +10,7 @@
 import dataclasses
 from random import Random
 
-from .plan import BacklogDelivery, BacklogTelling, FaultEvent, FaultKind, Plan
+from .plan import BacklogDelivery, BacklogPattern, FaultEvent, FaultKind, Plan
 
 START_SEED_OFFSET = 0x57A7
 MAX_CONFIG_AGE = 5.0  # seconds
@@ -33,14 +33,14 @@
     events = [event for event in plan.fault_events if event.kind not in (*_SIGNALS, *_OUTAGES)]
     events += [FaultEvent(start_at, signal, director) for director in range(plan.director_count)]
     events += _draw_events_in_gap(rng, plan, start_at, config_age)
-    telling = rng.choice(list(BacklogTelling))
+    pattern = rng.choice(list(BacklogPattern))
     return dataclasses.replace(
         plan,
         seconds=max(plan.seconds, start_at + config_age + TIME_AFTER_START),
         fault_events=tuple(sorted(events, key=lambda event: event.at)),
         backlog=BacklogDelivery(
             config_age=config_age,
-            telling=telling,
+            pattern=pattern,
             delay=rng.uniform(0.02, MAX_DELAY),
             duration=rng.uniform(0.2, MAX_DELIVERY_TIME),
             purges_before=MANY_PURGES if rng.random() < 1 / 3 else 0,
@@ -61,13 +61,14 @@
 def _draw_events_in_gap(rng: Random, plan: Plan, start_at: float, config_age: float) -> list[FaultEvent]:
     """Draws events between the writing of the configuration and the start of the processes."""
 
-    def instant() -> float:
+    def draw_time() -> float:
+        """Returns a time in that gap, or just after it."""
         return start_at + rng.uniform(0.0, config_age + 0.1)
 
     caches = rng.sample(range(plan.cache_count), max(1, plan.cache_count // 2))
-    events = [FaultEvent(instant(), rng.choice(NODE_EVENTS), cache, plan.seconds) for cache in caches]
+    events = [FaultEvent(draw_time(), rng.choice(NODE_EVENTS), cache, plan.seconds) for cache in caches]
     events += [
-        FaultEvent(instant(), FaultKind.PURGE_OBJECT, rng.randrange(POPULAR_OBJECTS))
+        FaultEvent(draw_time(), FaultKind.PURGE_OBJECT, rng.randrange(POPULAR_OBJECTS))
         for _ in range(rng.randrange(MAX_PURGES + 1))
     ]
     return events
--- a/ironhinge/net/connection.py
+++ b/ironhinge/net/connection.py
@@ -126,7 +126,7 @@
                 continue
             credit, pacer = self.credit, self.owner.pacer
             if credit is not None and credit.overdrawn_in >= pacer.interval - 1:
-                await self._wait_for_turn(pacer.overdrawn_lock)
+                await self._acquire_read_lock(pacer.overdrawn_lock)
                 try:
                     remedy, cost = self._timed_batch()
                     await lowlevel.checkpoint()
@@ -151,7 +151,7 @@
             else:
                 await lowlevel.checkpoint()
 
-    async def _wait_for_turn(self, lock: anyio.Lock) -> None:
+    async def _acquire_read_lock(self, lock: anyio.Lock) -> None:
         """Acquires the lock; lets the receiver act on what was read if others hold it for long."""
         with anyio.move_on_after(MAX_TURN_WAIT) as scope:
             await lock.acquire()
--- a/ironhinge/net/director.py
+++ b/ironhinge/net/director.py
@@ -373,8 +373,7 @@
         lag_ms = self.monitor.loop_lag / MILLISECOND
         peaks = f"request_body_bytes_peak={self.request_bodies.peak}"
         peaks += f" incomplete_frame_bytes_peak={self.incomplete_frames.peak} loop_lag_ms={lag_ms}"
-        discovery = self.discovery.progress.summary(self.discovery.last_index)
-        return f"{self.diagnostics.summary()} {self.manager.summary()} {discovery} {peaks}"
+        return f"{self.diagnostics.summary()} {self.manager.summary()} {self.discovery.summary()} {peaks}"
 
     # Shutdown
 
--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -127,6 +127,10 @@
         """Records that bytes have arrived."""
         self.progress.on_bytes()
 
+    def summary(self) -> str:
+        """Returns how far the events of the service have been followed, as key=value fields."""
+        return self.progress.summary(self.last_index)
+
     def apply_known(self) -> None:
         """Applies the endpoint list of the configuration, before any client is served."""
         for update in self._config.known:
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -43,6 +43,18 @@
         reset_connection(client.sock)
 
 
+def write_and_leave(address, data, way):
+    """Connects, writes all at once, and ends the connection before any of it is read."""
+    with socket.socket() as peer:
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(data))
+        peer.connect(address)
+        peer.sendall(data)
+        if way == "close":
+            peer.close()
+        else:
+            reset_connection(peer)
+
+
 @pytest.mark.parametrize("body_size", [2000, 20_000])
 @pytest.mark.parametrize("way", ["close", "reset"])
 def test_no_request_is_sent_whose_client_has_left_with_much_unread(way, body_size):
@@ -52,14 +64,7 @@
 
     async def scenario(director, client, wait_until):
         listener = listen(Address("127.0.0.1", 0))
-        with socket.socket() as peer:
-            peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(data))
-            peer.connect(listener.getsockname())
-            peer.sendall(data)
-            if way == "close":
-                peer.close()
-            else:
-                reset_connection(peer)
+        write_and_leave(listener.getsockname(), data, way)
         await anyio.sleep(0.2)  # longer than a request may be sent after its client has left
         director.manager.adopt(listener.accept()[0], ClientConnection(director))
         await wait_until(lambda: not director.clients and not director.requests)
@@ -77,10 +82,7 @@
 
     async def scenario(director, client, wait_until):
         listener = listen(Address("127.0.0.1", 0))
-        with socket.socket() as peer:
-            peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(data))
-            peer.connect(listener.getsockname())
-            peer.sendall(data)
+        write_and_leave(listener.getsockname(), data, "close")
         await anyio.sleep(0.05)
         director.manager.adopt(listener.accept()[0], ClientConnection(director))
         await wait_until(lambda: director.diagnostics.counters["requests"] > 1 and not director.clients)
--- a/tests/test_disk_tier.py
+++ b/tests/test_disk_tier.py
@@ -178,6 +178,15 @@
         threading.Event().wait(TIMEOUT)
 
 
+def assert_not_served_from_disk(client, upstream):
+    """Sends ten requests over half a second; each has to reach the upstream."""
+    request_count = len(upstream.request_ids)
+    for _ in range(10):
+        assert request_copy(client, FIRST_ENTITY)[0] == 1
+        time.sleep(0.05)
+    assert len(upstream.request_ids) == request_count + 10
+
+
 def test_copies_are_not_served_while_a_backlog_of_discovery_is_read_and_a_purge_is_in_it(tmp_path):
     """After an outage a copy was served from disk as soon as the first of many late events was read."""
     upstream = FakeUpstream(has_all_objects=True)
@@ -191,11 +200,7 @@
         coordinator.down.set()
         wait_until(lambda: coordinator.told_at is not None)
         time.sleep(0.5)  # of the 1.8 s in which the backlog comes; a purge has to be kept 0.35 s after it
-        request_count = len(upstream.request_ids)
-        for _ in range(10):
-            assert request_copy(client, FIRST_ENTITY)[0] == 1
-            time.sleep(0.05)
-        assert len(upstream.request_ids) == request_count + 10
+        assert_not_served_from_disk(client, upstream)
     finally:
         program.stop()
 
@@ -213,12 +218,7 @@
     coordinator = CoordinatorWithBacklog(up_seconds=0, down_seconds=0, event_count=60, pause=0.2)
     program = DirectorWithTier(tmp_path, {**config, "coordinator": coordinator.address})
     try:
-        request_count = len(upstream.request_ids)
-        client = FakeClient(program.port)
-        for _ in range(10):
-            assert request_copy(client, FIRST_ENTITY)[0] == 1
-            time.sleep(0.05)
-        assert len(upstream.request_ids) == request_count + 10
+        assert_not_served_from_disk(FakeClient(program.port), upstream)
     finally:
         program.stop()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
 from ironhinge.lab.soak.crowd_draws import add_crowds
 from ironhinge.lab.soak.crowds import AbuseKind
 from ironhinge.lab.soak.discovery import Discovery
-from ironhinge.lab.soak.plan import BacklogTelling, FaultKind, draw_plan
+from ironhinge.lab.soak.plan import BacklogPattern, FaultKind, draw_plan
 from ironhinge.lab.soak.platform_draws import extend_plan
 from ironhinge.lab.soak.records import (
     AnswerCode,
@@ -339,7 +339,7 @@
     plans = [extend_plan(draw_plan(seed)) for seed in range(40)]
     started = [add_starts(plan) for plan in plans]
     assert started == [add_starts(plan) for plan in plans]
-    assert {plan.backlog.telling for plan in started} == set(BacklogTelling)
+    assert {plan.backlog.pattern for plan in started} == set(BacklogPattern)
     for plan in started:
         kills = [event for event in plan.fault_events if event.kind in START_KINDS]
         assert len(kills) == plan.director_count
