review: after a step of the wall clock a purge misses the copy on the disk

The platform's wall clock steps back by 30 s between a copy and a purge; the tier on disk compares the two stamps and serves the copy from before the purge for good.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -71,6 +71,7 @@
         self.version = version
         self.tag = f"v{version}x{obj}p{seg}"
         self.dated = dated
+        self.made_at = time.time()  # a cache node counts the age of a copy as a span of real time
         text = f"{obj}/{seg}/v{version} ".encode()
         self.body = (text * (size // len(text) + 1))[:size]
 
@@ -214,13 +215,14 @@
                 command.answer("NOENT", "gauges=busy:0.3;rif:1")
             return
         copy, note = self.copies.get(key), "h"
-        limit = int(fields.get("accept", "0"))
-        if copy is not None and limit and world.unix_ms() - copy.dated > limit:
+        limit = int(fields.get("accept", "0")) or world.fresh_ms.get(fields["kind"], 0)
+        if copy is not None and limit and 1000 * (time.time() - copy.made_at) > limit:
             copy = None
         if self.kind == "origin":
             copy = Copy(world.version(key[0]), *key, world.body_size, world.unix_ms())
         elif copy is None and fields.get("parent"):
             copy, note = Copy(world.version(key[0]), *key, world.body_size, world.unix_ms()), "o"
+            world.filled_bytes += len(copy.body)
             if int(fields.get("shelf", "0")):
                 self.copies[key] = copy
         if copy is None:
@@ -399,6 +401,8 @@
         self.zones = ["merkez", "edge-1"]
         self.kinds = ["gen-a", "origin"]
         self.write_classes = {"rent-receipt"}
+        self.filled_bytes = 0  # that the origin has sent to the caches
+        self.fresh_ms: dict[str, int] = {}  # the fresh time of a class; absent: a copy is good until it is purged
         self.body_size = 4000
         self.purge_settles_ms = 6000
         self.clock_step_ms = 0
