--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,68 +1,92 @@
-"""The platform's wall clock steps back by some seconds: copies on the director's disk live longer by that."""
+"""The node list runs behind for some seconds: the director goes on sending to a cache node that drains."""
 
 import asyncio
+import random
 import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
-from standins import SERVED, CannotRun, Client, Director, Record, World, play, trouble
+from standins import Client, Director, Record, SlowPath, World, play, trouble
 
-STEP = 30.0  # seconds; the terms: by seconds or an hour
-FRESH, GRACE = 4.0, 4.0  # seconds: the class's fresh time, and for how long a copy may be served after it
+BEHIND = 3.0  # seconds; the brief: 2.7 to 9 s
+BEHIND_FOR = 20.0  # seconds; the brief: 14 to 26 s
+TOLD_AT_THE_LATEST = 7.0  # seconds
+GRACE = 0.5  # seconds, as in the settings
 SLACK = 0.05  # seconds
-OBJECT, OTHER = "7f3a9c21e0b4d655", "1111111111111111"
+INTERVAL = 0.03  # seconds between requests
+RECEIPT_INTERVAL, RECEIPT_TIME = 0.02, 0.5  # of requests that must never run twice: between two, and for each
+ENDS_AFTER = 10.0  # seconds from the drain to the end of the node's process; what was sent in time has ended by then
 
 
 async def main(record: Record, folder: Path, directors: list[Director]) -> int:
     world = World(record)
-    world.fresh_ms["video-part"] = int(1000 * FRESH)
-    await world.start(caches=3)
-    operations = folder / "operations.cue"
-    operations.write_text(f'disk: {{folder: "{folder / "tier"}", room: "64MB"}}\n')
-    director = Director(world, folder, arguments=f" --operations {operations}")
-    extra = director.settings["extra"]
-    extra["class-fresh"], extra["class-grace"] = [int(FRESH * 1e6), 0], [int(GRACE * 1e6), 0]
+    await world.start(caches=4)
+    path = SlowPath(world.coordinator.port)
+    await path.start()
+    director = Director(world, folder)
     directors.append(director)
+    director.coordinator_port = path.port
+    await director.start()
+    draw = random.Random(6)
+    objects = [f"{draw.getrandbits(64):016x}" for _ in range(200)]
+    answers: dict[str, list[str]] = {"video-part": [], "rent-receipt": []}
+    for node in world.nodes:
+        node.write_delay = RECEIPT_TIME
 
-    def commands() -> int:
-        return sum(len(node.commands) for node in world.nodes)
+    async def ask(client: Client, route: str) -> None:
+        try:
+            answers[route].append((await client.ask(route, draw.choice(objects), patience=2500)).name)
+        except (OSError, TimeoutError) as error:
+            answers[route].append(type(error).__name__)
 
-    async def ask() -> tuple[int, bytes, bool]:
-        """Ask for the object; return the code, the body, and whether no cache node was asked."""
-        client, before = await Client.connect(world, director.port), commands()
-        answer = await client.ask("video-part", OBJECT, group="17")
-        client.close()
-        return answer.code, answer.body, commands() == before
+    async def load(route: str, interval: float, until: float) -> None:
+        clients, tasks, count = [await Client.connect(world, director.port) for _ in range(8)], [], 0
+        while time.time() < until:
+            count += 1
+            index = count % len(clients)
+            client = clients[index]
+            if not client.may_send or client.is_lost:
+                client = clients[index] = await Client.connect(world, director.port)
+            tasks.append(asyncio.ensure_future(ask(client, route)))
+            await asyncio.sleep(interval)
+        await asyncio.gather(*tasks)
 
-    await director.start()
-    for _ in range(30):
-        code, body, is_own_copy = await ask()
-        if is_own_copy:
-            break
-        await asyncio.sleep(0.2)
-    else:
-        raise CannotRun("the director kept no copy on its disk")
-    kept_at = time.time()  # the copy is older than this
-    record.say(f"the director serves {body[:24]!r} from its disk")
-    world.versions[OBJECT] = 2  # the origin has new bytes, which no purge tells: the fresh time is the bound
-    await asyncio.sleep(1)
+    end = time.time() + 3 + BEHIND_FOR
+    loads = [asyncio.ensure_future(load("video-part", INTERVAL, end)),
+             asyncio.ensure_future(load("rent-receipt", RECEIPT_INTERVAL, end))]
+    await asyncio.sleep(3)
     if trouble():
-        world.clock_step_ms = int(-1000 * STEP)
-        record.say(f"the platform's wall clock steps back by {STEP} s")
-    await asyncio.sleep(0.5)
-    world.purge(OTHER)
-    old = []
-    for age in (FRESH + GRACE + 2, FRESH + GRACE + 6, FRESH + GRACE + 12):
-        await asyncio.sleep(kept_at + age - time.time())
-        real_age = time.time() - kept_at
-        code, body, is_own_copy = await ask()
-        where = "from its disk" if is_own_copy else "from a cache node"
-        record.say(f"the first copy is over {real_age:.1f} s old: code {code}, {body[:24]!r}, {where}")
-        old.append(code == SERVED and b"/v1 " in body and real_age > FRESH + GRACE + SLACK)
+        path.delay = BEHIND
+        record.say(f"from now on the list runs {BEHIND} s behind")
+    await asyncio.sleep(2)
+    drained = world.nodes[0]
+    drained.status = "DRAINING"
+    told_at = time.time()
+    world.coordinator.tell_nodes([drained])
+    record.say(f"the coordinator holds the drain of {drained.name}")
+    await asyncio.sleep(ENDS_AFTER)
+    cut = [command.id for link in drained.links for command in link.open.values() if command.fields["kind"] == "rent-receipt"]
+    drained.die()
+    drained.status = "DELETED"
+    world.coordinator.tell_nodes([drained])
+    record.say(f"{drained.name} has done what was sent to it in time, and its process ends; {len(cut)} receipts were at work")
+    await asyncio.gather(*loads)
     await director.end(signal.SIGTERM)
-    return 1 if any(old) else 0
+
+    limit = told_at + TOLD_AT_THE_LATEST + GRACE + SLACK
+    sent = [command.first_byte_at - told_at for command in drained.commands if command.first_byte_at > told_at]
+    late = [span for span in sent if told_at + span > limit]
+    before = sum(command.first_byte_at <= told_at for command in drained.commands)
+    for route, names in answers.items():
+        record.say(f"{route}: { {name: names.count(name) for name in sorted(set(names))} }")
+    record.say(f"commands to {drained.name}: {before} before the drain, {len(sent)} after it, the last "
+               f"{max(sent, default=0.0):.3f} s after it; {len(late)} later than {limit - told_at:.2f} s after it")
+    if not before:
+        record.say("the cache node got nothing before the drain: the case says nothing")
+        return 2
+    return 1 if late else 0
 
 
 play(main, Path(__file__).resolve().parent)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -176,6 +176,7 @@
         self.status = "SERVING"
         self.is_hanging = False
         self.weight = 20.0
+        self.write_delay = delay  # for requests that run at the origin
         self.copies: dict[tuple[str, str], Copy] = {}
         self.commands: list[Command] = []
         self.links: set[NodeLink] = set()
@@ -199,7 +200,8 @@
 
     def handle(self, command: Command) -> None:
         if not self.is_hanging:
-            asyncio.get_running_loop().call_later(self.delay, self._answer, command)
+            is_write = command.fields["kind"] in self.world.write_classes
+            asyncio.get_running_loop().call_later(self.write_delay if is_write else self.delay, self._answer, command)
 
     def _answer(self, command: Command) -> None:
         if command.given_up:
@@ -409,7 +411,6 @@
         self.nodes: list[Node] = []
         self.versions: dict[str, int] = {}
         self.ran: dict[str, list[tuple[float, str]]] = {}
-        self.clients: list[Client] = []
         self.coordinator = Coordinator(self)
 
     def unix_ms(self) -> int:
@@ -594,6 +595,8 @@
 class Client:
     """One connection of a client."""
 
+    all: "list[Client]" = []  # of the whole run; closed at its end
+
     def __init__(self, world: World, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self.world, self.reader, self.writer = world, reader, writer
         self.stream = 0
@@ -601,7 +604,7 @@
         self.may_send = True
         self.is_lost = False
         self.task = asyncio.ensure_future(self._read())
-        world.clients.append(self)  # a task alone does not keep its connection
+        Client.all.append(self)  # a task alone does not keep its connection
 
     @classmethod
     async def connect(cls, world: World, port: int) -> "Client":
@@ -673,6 +676,10 @@
             record.say(f"the case could not run: {error!r}")
             return 2
         finally:
+            for client in Client.all:
+                client.task.cancel()
+                client.writer.close()
+            await asyncio.gather(*(client.task for client in Client.all), return_exceptions=True)
             for director in directors:
                 process = director.process
                 if process is not None and process.returncode is None:
