--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -26,7 +26,7 @@
 STATES = {"SERVING": 0, "DRAINING": 1, "DELETED": 2}
 SERVED, REFUSED, FAILED = 1, 2, 3
 CODE_NAMES = {SERVED: "served", REFUSED: "refused", FAILED: "failed"}
-READY_LIMIT = 10.0  # seconds: nine in ten restarted directors are ready by then
+CHILDREN: list[asyncio.subprocess.Process] = []  # processes beside the directors; ended with the case
 
 
 def trouble() -> bool:
@@ -672,10 +672,14 @@
         directors: list[Director] = []
         try:
             return int(await asyncio.wait_for(main(record, Path(scratch), directors), 112))
-        except (CannotRun, OSError, TimeoutError) as error:
+        except Exception as error:  # an error of the script itself shows nothing about the rule either
             record.say(f"the case could not run: {error!r}")
             return 2
         finally:
+            for child in CHILDREN:
+                if child.returncode is None:
+                    child.kill()
+                    await child.wait()
             for client in Client.all:
                 client.task.cancel()
                 client.writer.close()
