--- a/ironhinge/lab/soak/directors.py
+++ b/ironhinge/lab/soak/directors.py
@@ -104,7 +104,7 @@
 
     def write_config(self) -> None:
         """Write the configuration file with the current endpoint list, purges and discovery address."""
-        self.configured_discovery_port = self.discovery.port
+        self.configured_discovery_port = self.discovery.director_port
         self.config.write_text(json.dumps(self.environment.configuration(self)))
 
     async def start(self) -> None:
@@ -147,7 +147,7 @@
     def _record_ready(self, record: DirectorIncarnation) -> None:
         record.ready_at = time.monotonic()
         self.accepting = True
-        if self.configured_discovery_port != self.discovery.port:  # discovery moved during the start
+        if self.configured_discovery_port != self.discovery.director_port:  # discovery moved during the start
             self.write_config()
             self.send(signal.SIGHUP)
 
--- a/ironhinge/lab/soak/discovery.py
+++ b/ironhinge/lab/soak/discovery.py
@@ -10,7 +10,8 @@
 
 from ..ports import PortAllocator
 from . import wire
-from .plan import BacklogDelivery, BacklogPattern
+from .late_path import LatePath
+from .plan import BacklogDelivery, BacklogPattern, DiscoveryTrouble
 from .records import Notification, NotificationKind, Records
 from .servers import Node
 from .sockets import reset_connection
@@ -50,6 +51,10 @@
     def backlog(self) -> BacklogDelivery | None:
         """How the first connection of a process is told what is held; None: at once."""
 
+    @property
+    def discovery_troubles(self) -> tuple[DiscoveryTrouble, ...]:
+        """Times for which the path to the director is late; empty: there is no such path."""
+
 
 class Discovery:
     """Writes numbered events to all connections of one director."""
@@ -80,6 +85,8 @@
         self._listens_since = 0.0
         self._event_write_time = delivery.event_write_time
         self._backlog = delivery.backlog
+        self.path: LatePath | None = None  # from this service to the director, if it may be late
+        self._has_path = bool(delivery.discovery_troubles)
         self._connected_processes: set[int] = set()  # numbers of those that have connected
         self._events: list[_Event] = []
         self._server: asyncio.Server | None = None
@@ -98,12 +105,33 @@
         self.port = port or self.ports.allocate()
         self._listens_since = time.monotonic()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        if self._has_path:
+            await self._start_path()
+
+    async def _start_path(self) -> None:
+        """Start the path to the service; after an outage at the same port as before, in the same state."""
+        old, new_port = self.path, self.ports.allocate() if self.path is None else 0
+        if old is not None and old.target_port != self.port:  # the service has moved
+            new_port = self.ports.allocate()
+        if new_port:
+            self.path = LatePath(new_port, self.port)
+            if old is not None:
+                self.path.continue_trouble_of(old)
+        assert self.path is not None
+        await self.path.start()
+
+    @property
+    def director_port(self) -> int:
+        """The port at which the director reaches the service."""
+        return self.port if self.path is None else self.path.listen_port
 
     def stop(self) -> None:
         """Stop listening and reset all connections."""
         if self._server is not None:
             self._server.close()
             self._server = None
+        if self.path is not None:
+            self.path.stop()
         self.reset_connections()
 
     def reset_connections(self) -> None:
@@ -153,8 +181,9 @@
 
     def _publish(self, data: bytes, kind: NotificationKind, target: str) -> None:
         self._events.append(_Event(data, kind, target, time.monotonic()))
-        if self._event_write_time:  # each connection writes it by itself
+        if self._event_write_time or self._is_path_late():
             asyncio.get_running_loop().call_later(MAX_EVENT_DELAY, self._notify_late, self._events[-1])
+        if self._event_write_time:  # each connection writes it by itself
             return
         for writer in list(self._writers):
             if not writer.is_closing():
@@ -164,9 +193,14 @@
         last_seen = self._writers[writer]
         for event in self._events[max(0, last_seen - FIRST_NUMBER) :]:
             writer.write(event.data)
-            self._record_notification(event)
+            if not self._is_path_late():
+                self._record_notification(event)
         self._writers[writer] = self.last_number
 
+    def _is_path_late(self) -> bool:
+        """Return whether what is written now may arrive late or never."""
+        return self.path is not None and not self.path.is_sound
+
     def _record_notification(self, event: _Event) -> None:
         """Record that an event counts as notified: now, or since it happened.
 
--- a/ironhinge/lab/soak/plan.py
+++ b/ironhinge/lab/soak/plan.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from .crowds import AbuseKind
+from .lateness import Lateness
 
 # seconds: how long after a notification a director may use a draining node or serve a purged copy; nodes have
 # applied a purge by themselves after the settle time
@@ -170,6 +171,15 @@
     purges_before: int  # purges of objects that nobody requests, ahead of the other events
 
 
+@dataclass(frozen=True, slots=True)
+class DiscoveryTrouble:
+    """A time for which the paths from discovery to all directors are late."""
+
+    at: float  # seconds since the start of the load; negative: from before the start of the directors
+    duration: float  # seconds
+    lateness: Lateness
+
+
 DIRECT_PATH = NetworkPath()  # no proxy
 
 
@@ -198,6 +208,7 @@
     event_write_time: float = 0.0  # seconds in which discovery writes each event in pieces; 0: at once
     crowds: tuple[AbuseEvent, ...] = ()
     backlog: BacklogDelivery | None = None  # None: the configuration is written right before each start
+    discovery_troubles: tuple[DiscoveryTrouble, ...] = ()
     has_coinciding_times: bool = False  # client timeouts after which a deadline is the end of a window
 
 
--- a/ironhinge/lab/soak/proxy.py
+++ b/ironhinge/lab/soak/proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .plan import NetworkPath
@@ -28,6 +30,7 @@
         self.path = path
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._connection_numbers = itertools.count(1)
 
     async def start(self) -> int:
         """Start to listen and return the port.
@@ -51,8 +54,18 @@
         except OSError:
             writer.transport.abort()
             return
-        directions = ((reader, target_writer), (target_reader, writer))
-        pumps = [asyncio.ensure_future(self._pump(*ends)) for ends in directions]
+        number = next(self._connection_numbers)
+        self.on_connected(number)
+
+        def return_delay(count: int) -> float:
+            """Return the delay of bytes for the client."""
+            self.on_returned(count)
+            return self.return_delay(number)
+
+        pumps = [
+            asyncio.ensure_future(self._pump(reader, target_writer, lambda _: self.path.delay)),
+            asyncio.ensure_future(self._pump(target_reader, writer, return_delay)),
+        ]
         self._tasks.update(pumps)
         try:
             await asyncio.gather(*pumps)
@@ -66,15 +79,27 @@
             target_writer.close()
             writer.close()
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Forward each read after the path's delay, in order; reading goes on in the meantime."""
+    def on_connected(self, number: int) -> None:
+        """Note that a connection was established; connections are numbered from 1."""
+
+    def on_returned(self, count: int) -> None:
+        """Note that the server has written bytes."""
+
+    def return_delay(self, number: int) -> float:
+        """Return the seconds by which bytes for the client of connection `number` are delayed now."""
+        return self.path.delay
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, delay: Callable[[int], float]
+    ) -> None:
+        """Forward each read after its delay, in order; reading goes on in the meantime."""
         queue: asyncio.Queue[_Chunk] = asyncio.Queue()
         loop = asyncio.get_running_loop()
         writing = asyncio.ensure_future(self._write_chunks(queue, writer))
         try:
             while data := await reader.read(READ_BYTES):
-                queue.put_nowait(_Chunk(loop.time() + self.path.delay, data))
-            queue.put_nowait(_Chunk(loop.time() + self.path.delay + self.path.end_delay, None))
+                queue.put_nowait(_Chunk(loop.time() + delay(len(data)), data))
+            queue.put_nowait(_Chunk(loop.time() + delay(0) + self.path.end_delay, None))
             await writing
         finally:
             writing.cancel()
--- a/ironhinge/lab/soak/run.py
+++ b/ironhinge/lab/soak/run.py
@@ -21,7 +21,7 @@
 from .directors import Director, die_with_parent, time_to_kill
 from .discovery import Discovery
 from .faults import FaultInjector
-from .plan import DIRECT_PATH, AbuseEvent, FaultKind, NetworkPath, Plan
+from .plan import DIRECT_PATH, AbuseEvent, DiscoveryTrouble, FaultKind, NetworkPath, Plan
 from .readiness import hold_idle_connections
 from .records import Notification, NotificationKind, Records
 from .report import build_report
@@ -79,6 +79,9 @@
             await node.start(self.plan.node_path if node in self.caches else DIRECT_PATH)
         for director in self.directors:
             await self._start_discovery_and_proxies(director)
+        for trouble in self.plan.discovery_troubles:
+            if trouble.at < 0:
+                self._begin_discovery_trouble(trouble)
         await asyncio.gather(*(director.start() for director in self.directors))
         if not all(director.accepting for director in self.directors):
             raise DirectorStartError(
@@ -123,7 +126,7 @@
                 "sockets": self.plan.descriptor_limit,
             },
             "known": updates,
-            "coordinator": f"127.0.0.1:{director.discovery.port}",
+            "coordinator": f"127.0.0.1:{director.discovery.director_port}",
             "settings": platform_settings(self.plan),
         }
 
@@ -158,6 +161,10 @@
         self._tasks.append(asyncio.ensure_future(self._measure_lag()))
         injector = FaultInjector(self.plan, self.records, self.fleet, self.caches, self.directors)
         faults = [asyncio.ensure_future(injector.apply(event, began)) for event in self.plan.fault_events]
+        faults += [
+            asyncio.ensure_future(self._apply_discovery_trouble(trouble, began))
+            for trouble in self.plan.discovery_troubles
+        ]
         clients: list[asyncio.Task[None]] = []
         for director in self.directors:
             for _ in range(self.plan.clients_per_director):
@@ -174,6 +181,21 @@
             if director.accepting and director.record is not None:
                 await self._shut_down(director)
 
+    def _begin_discovery_trouble(self, trouble: DiscoveryTrouble) -> None:
+        for discovery in self.discoveries:
+            if discovery.path is not None:
+                discovery.path.begin_trouble(trouble.lateness)
+
+    async def _apply_discovery_trouble(self, trouble: DiscoveryTrouble, began: float) -> None:
+        """Make the paths from discovery to the directors late for a time."""
+        if trouble.at >= 0:
+            await asyncio.sleep(max(0.0, began + trouble.at - time.monotonic()))
+            self._begin_discovery_trouble(trouble)
+        await asyncio.sleep(max(0.0, began + trouble.at + trouble.duration - time.monotonic()))
+        for discovery in self.discoveries:
+            if discovery.path is not None:
+                discovery.path.end_trouble()
+
     def _load_duration(self) -> float:
         """Return the seconds for which clients send: at least until `KILL_MARGIN` after the last kill.
 
@@ -246,6 +268,15 @@
                 self.records.max_lag = max(self.records.max_lag, lag)
 
 
+def run_to_end(run: SoakRun) -> AuditResult:
+    """Execute a run in an event loop of its own and return the result of its audit.
+
+    Raises:
+        DirectorStartError: A director did not become ready at the start.
+    """
+    return asyncio.run(run.execute())
+
+
 def run_plan(plan: Plan, log_folder: Path | None = None) -> dict[str, Any]:
     """Run a plan and return its report.
 
@@ -258,7 +289,7 @@
     """
     run = SoakRun(plan)
     try:
-        audit_result = asyncio.run(run.execute())
+        audit_result = run_to_end(run)
         report = build_report(plan, run.records, audit_result)
         if log_folder is not None and audit_result.findings:
             folder = log_folder / str(plan.seed)
