Discovery: a silent connection is kept while a second one is tried beside it

Cause: a connection without a byte for 2 s was closed with all that was on its way, and the next one got the same 2 s, so that no number of connections brought an event. Connecting had the 0.4 s of the caches. Class: silence taken as proof of a dead connection, and a recovery that throws away what is coming.

Fix: the silent connection stays, a second one is tried, events are taken once and in order from either, and one ends when an empty frame on the other proves that current. If both are silent the first makes room for a third once the second is established, since that has on its way all that the first has. Two at a time, an established one every 2 s on average. Logs and counters say how late frames arrive and why a connection ended.

--- a/benchmarks/planted_faults.py
+++ b/benchmarks/planted_faults.py
@@ -161,10 +161,10 @@
         draws=2,
     ),
     PlantedFault(
-        "slow event given up",
-        "net/discovery_connection.py",
-        "        is_silent = now > self.last_received_at + SILENCE_TIMEOUT\n",
-        "        is_silent = now > self._frame_started_at + SILENCE_TIMEOUT\n",
+        "silent connection given up",
+        "net/discovery_choice.py",
+        "        return Choice.OPEN_SECOND if older.silent_for else Choice.KEEP\n",
+        "        return Choice.REPLACE_OLDER if older.silent_for else Choice.KEEP\n",
         draws=2,
     ),
 )
--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -1,4 +1,4 @@
-"""Follows the discovery service: keeps a connection to its configured address and applies its events.
+"""Follows the discovery service: applies the events that its connections deliver.
 
 Events are numbered; those that were applied already are ignored. Each event is reported to the router, and
 unsent attempts that it makes invalid are withdrawn. A reloaded configuration may know events that have not
@@ -11,7 +11,6 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
-import anyio
 from loguru import logger
 
 from ..config import (
@@ -24,24 +23,22 @@
 )
 from ..interface import Endpoint, EndpointState, EndpointsUpdated, Event, PurgeNotified
 from .attempt_end import AttemptEnd
-from .clock import SECOND, Clock
+from .clock import MILLISECOND, SECOND, Clock
 from .connection_manager import ConnectionManager
+from .delivery_delay import KEEPALIVE_INTERVAL
 from .discovery_connection import DiscoveryConnection
+from .discovery_connections import DiscoveryConnections
 from .discovery_progress import DiscoveryProgress
-from .discovery_wire import Keepalive
 from .endpoint_addresses import EndpointAddresses
 from .extensions import LocalCopyStore, TrafficAccount
 from .open_request import Attempt
-from .system_calls import with_jitter
 from .upstream import Upstream
 from .upstream_pool import UpstreamPool
 
-SILENCE_CHECK_INTERVAL = SECOND // 4
-MIN_RECONNECT_PAUSE = 0.05  # seconds
-MAX_RECONNECT_PAUSE = 0.4  # seconds; the protocol counts events as delivered 2 s after a break
 # fields that may change in a reloaded configuration without a warning; `seed` takes no effect
 RELOADABLE_FIELDS = "seed", "known", "known_index", "discovery_address"
-MAX_WRITE_INTERVAL_MS = 1000  # longest interval between two frames of the service
+# Purges may be missing beyond this delay though they count as delivered, 7 s after they happened.
+MAX_CURRENT_DELAY = 5 * SECOND
 
 
 class ChangeOrigin(StrEnum):
@@ -81,11 +78,11 @@
 
 
 class Discovery:
-    """The connection to the discovery service, and the progress through its events.
+    """The progress through the events of the discovery service.
 
     Attributes:
         last_index: Index of the last event applied.
-        connection: The current connection; None before the first.
+        connections: The connections to the service.
         progress: How far the events of the service have been followed.
         traffic_account: Records endpoint list updates, if this extension is in use.
         local_store: Records purges and the progress of discovery, if this extension is in use.
@@ -100,12 +97,13 @@
         listener: DiscoveryListener,
     ):
         self.last_index = 0
-        self.connection: DiscoveryConnection | None = None
         self.progress = DiscoveryProgress(clock)
         self.traffic_account: TrafficAccount | None = None
         self.local_store: LocalCopyStore | None = None
         self._config = config
-        self._manager = manager
+        self.connections = DiscoveryConnections(
+            self, manager, clock, lambda: self._config.discovery_address, self._update_currency
+        )
         self._pool = pool
         self._clock = clock
         self._listener = listener
@@ -118,18 +116,32 @@
         """Records that all events up to `now` have been received."""
         self._caught_up_at = now
 
-    def on_discovery_connected(self) -> None:
-        """Records that the connection to the configured address was established."""
+    def on_discovery_connected(self, connection: DiscoveryConnection) -> None:
+        """Records that a connection to the configured address was established."""
+        self.connections.on_established()
         if self._config.discovery_address is not None:
             self.progress.on_connected(self._config.discovery_address, self.last_index)
 
+    def on_discovery_closed(self, connection: DiscoveryConnection, end: AttemptEnd) -> None:
+        """Handles the end of a connection."""
+        self.connections.on_closed(connection, end)
+
     def on_discovery_bytes(self) -> None:
         """Records that bytes have arrived."""
         self.progress.on_bytes()
 
     def summary(self) -> str:
         """Returns how far the events of the service have been followed, as key=value fields."""
-        return self.progress.summary(self.last_index)
+        now = self._clock.now()
+        delay, last_end = self.connections.delay(now), self.connections.last_end
+        delay_s = "unknown" if delay is None else f"{self._clock.seconds(delay):.1f}"
+        received_at = max((each.last_received_at for each in self.connections.connections), default=now)
+        return (
+            f"{self.progress.summary(self.last_index)} discovery_delay_s={delay_s} "
+            f"discovery_silent_s={self._clock.seconds(now - received_at):.1f} "
+            f"discovery_open={len(self.connections.connections)} discovery_opened={self.connections.opened} "
+            f"discovery_last_end={last_end.reason if last_end else 'none'}"
+        )
 
     def apply_known(self) -> None:
         """Applies the endpoint list of the configuration, before any client is served."""
@@ -137,17 +149,36 @@
             self._apply_event(update, ChangeOrigin.CONFIGURATION)
         self.last_index = max(self.last_index, self._config.known_index)
 
-    def apply(self, update: DiscoveryUpdate | Keepalive) -> None:
+    def apply(self, update: DiscoveryUpdate) -> None:
         """Applies one event that has arrived, unless it was applied already."""
-        if isinstance(update, Keepalive):
-            self.set_caught_up(self._clock.now())
-            self.progress.on_keepalive(update.number, self.last_index)
-        else:
-            self.progress.on_event()
-            self._apply_event(update, ChangeOrigin.DISCOVERY)
-        if self.local_store is not None and self.progress.is_current:
-            # frames arrive in order: events older than the longest interval between two have been received
-            self.local_store.on_discovery_progress(self._clock.unix_ms() - MAX_WRITE_INTERVAL_MS)
+        self.progress.on_event()
+        self._apply_event(update, ChangeOrigin.DISCOVERY)
+        self._report_progress_to_store()
+
+    def on_keepalive(self, connection: DiscoveryConnection) -> None:
+        """Handles an empty frame: all that the service held when it wrote the frame has been received."""
+        now = self._clock.now()
+        if connection.is_proved:
+            self.set_caught_up(now)
+            self.progress.on_synced()
+        self.connections.on_keepalive()
+        self._update_currency()
+        self._report_progress_to_store()
+
+    def _update_currency(self) -> None:
+        """Records whether all that the service holds has been applied, as far as its connections show it."""
+        delay = self.connections.delay(self._clock.now())
+        self.progress.set_current(delay is not None and delay <= MAX_CURRENT_DELAY, self.last_index, delay)
+
+    def _report_progress_to_store(self) -> None:
+        """Reports to the local store which purges have been received.
+
+        Frames arrive in order, so that all those have been which were issued before the write of the latest
+        frame, less the longest time between two frames.
+        """
+        delay = self.connections.delay(self._clock.now())
+        if self.local_store is not None and delay is not None and self.progress.is_current:
+            self.local_store.on_discovery_progress(self._clock.unix_ms() - KEEPALIVE_INTERVAL // MILLISECOND)
 
     def _apply_event(self, update: DiscoveryUpdate, origin: ChangeOrigin) -> None:
         if update.event_index <= self.last_index:
@@ -237,41 +268,11 @@
 
     def catch_up(self, max_age: float) -> None:
         """Reads the events that have arrived, unless none older than `max_age` seconds can be unread."""
-        if self.connection is not None:
-            self.connection.connection.catch_up(max_age)
+        self.connections.catch_up(max_age)
 
     async def follow(self) -> None:
-        """Keeps a connection to the discovery service, also after a reload changes its address."""
-        pause = MIN_RECONNECT_PAUSE
-        timeout = self._clock.seconds(self._config.transport.connect_timeout)
-        while True:
-            address = self._config.discovery_address
-            if address is None:
-                await anyio.sleep(MAX_RECONNECT_PAUSE)
-                continue
-            current = self.connection = DiscoveryConnection(self, self._clock)
-            current.connection = self._manager.connect(current, address, timeout, may_use_reserve=True)
-            await self._wait_until_closed(current)
-            self.progress.on_connection_lost()
-            if self._config.discovery_address == address:
-                logger.warning(
-                    "discovery_connection_lost address={}:{} reason={} index={}",
-                    *address,
-                    current.end.name.lower(),
-                    self.last_index,
-                )
-                pause = MIN_RECONNECT_PAUSE if current.has_received else min(MAX_RECONNECT_PAUSE, 2 * pause)
-                await anyio.sleep(with_jitter(pause))
-
-    async def _wait_until_closed(self, current: DiscoveryConnection) -> None:
-        """Waits until a connection is closed; closes it if the service is silent or takes too long."""
-        while not current.closed.is_set():
-            with anyio.move_on_after(self._clock.seconds(SILENCE_CHECK_INTERVAL)):
-                await current.closed.wait()
-            if current.is_stalled(self._clock.now()):
-                current.connection.read_now()  # this process may have been late to read
-            if current.is_stalled(self._clock.now()):
-                current.connection.close(AttemptEnd.TIMED_OUT)
+        """Keeps the discovery service connected, also after a reload changes its address."""
+        await self.connections.run()
 
     def apply_config(self, config: DirectorConfig) -> None:
         """Applies a reloaded configuration: its known events, and the address of the discovery service.
@@ -293,5 +294,4 @@
         else:
             logger.info("config_reloaded discovery={}:{}", *address)
         self._config = self._config._replace(discovery_address=address)
-        if self.connection is not None:
-            self.connection.connection.close(AttemptEnd.CLOSED)
+        self.connections.move()
--- a/ironhinge/net/discovery_progress.py
+++ b/ironhinge/net/discovery_progress.py
@@ -1,7 +1,8 @@
 """How far a director has followed the discovery service, and whether it holds all that the service held.
 
-A director is current once an empty frame has arrived on its connection: the service writes events in order,
-and an empty frame only if it has nothing new. No event proves that, since another one may follow it.
+A director is current once an empty frame has arrived on a connection that is not far behind: the service
+writes events in order, and an empty frame only if it has nothing new. No event proves that, since another one
+may follow it.
 """
 
 from __future__ import annotations
@@ -29,7 +30,7 @@
 
     Attributes:
         stage: The furthest that the connections have come since the start.
-        is_current: All events that the service held have been applied, and its connection is open.
+        is_current: All events that the service held have been applied, and a connection delivers in time.
         events: Events received from the service.
         connections: Connections established.
     """
@@ -43,7 +44,6 @@
         self._started_at = clock.now()
         self._behind_since = self._started_at
         self._events_when_behind = 0
-        self._pending_number: int | None = None  # of an empty frame that names an event which is missing
         self._stage_changed = anyio.Event()
 
     async def wait_for_stage_change(self) -> None:
@@ -53,7 +53,6 @@
     def on_connected(self, address: Address, last_index: int) -> None:
         """Records that a connection was established, on which the events after `last_index` are requested."""
         self.connections += 1
-        self._pending_number = None
         self._advance(SyncStage.SILENT)
         logger.info(
             "discovery_connected address={}:{} after_index={} since_start_s={:.3f}",
@@ -69,34 +68,39 @@
     def on_event(self) -> None:
         """Records that an event has arrived."""
         self.events += 1
-        self._pending_number = None
 
-    def on_keepalive(self, number: int, last_index: int) -> None:
-        """Records an empty frame, which shows that the service had nothing new when it wrote the frame.
+    def on_synced(self) -> None:
+        """Records that all events have been applied that the service held at some time since the start."""
+        self._advance(SyncStage.SYNCED)
+
+    def set_current(self, is_current: bool, last_index: int, delay: int | None) -> None:
+        """Records whether the director is current now, and logs changes.
 
-        The protocol does not say which number such a frame carries. If it is that of an event that has not
-        arrived, the next empty frame decides: unless an event came before it, the number means nothing.
+        Args:
+            is_current: Whether it is.
+            last_index: Index of the last event applied.
+            delay: How late the frames of the best connection arrive in ticks; None: no connection is proved.
         """
-        is_event_missing = number > last_index and number != self._pending_number
-        self._pending_number = number
-        if is_event_missing or self.is_current:
+        if is_current == self.is_current:
+            return
+        self.is_current = is_current
+        if is_current:
+            self._log_caught_up(last_index, delay or 0)
             return
-        self.is_current = True
+        self._behind_since = self._clock.now()
+        self._events_when_behind = self.events
+        delay_s = "unknown" if delay is None else f"{self._clock.seconds(delay):.3f}"
+        logger.warning("discovery_behind index={} delay_s={}", last_index, delay_s)
+
+    def _log_caught_up(self, last_index: int, delay: int) -> None:
         logger.info(
-            "discovery_caught_up index={} events={} behind_s={:.3f} since_start_s={:.3f}",
+            "discovery_caught_up index={} events={} behind_s={:.3f} since_start_s={:.3f} delay_s={:.3f}",
             last_index,
             self.events - self._events_when_behind,
             self._seconds_since(self._behind_since),
             self._seconds_since(self._started_at),
+            self._clock.seconds(delay),
         )
-        self._advance(SyncStage.SYNCED)
-
-    def on_connection_lost(self) -> None:
-        """Records that the connection has ended: later events are not known."""
-        if self.is_current:
-            self.is_current = False
-            self._behind_since = self._clock.now()
-            self._events_when_behind = self.events
 
     def summary(self, last_index: int) -> str:
         """Returns the progress as key=value fields."""
--- a/ironhinge/net/initial_sync.py
+++ b/ironhinge/net/initial_sync.py
@@ -18,7 +18,7 @@
 
 WAIT_LIMITS = {  # since the first attempt to connect
     SyncStage.UNREACHABLE: 2 * SECOND,  # some attempts to connect, also after a lost SYN
-    SyncStage.SILENT: 7 * SECOND // 2,  # silence ends a connection after 2 s; a new one has to show a frame
+    SyncStage.SILENT: 7 * SECOND // 2,  # a second connection is tried meanwhile; it has to show a frame
     SyncStage.RECEIVING: 4 * SECOND,
 }
 
