Disk tier: progress is recorded as of when a late frame was written, not received

What callers could see (nobody did): with copies on disk and a late path from discovery, a purge on its way at a kill is missed by the next process, as the record says that all purges of up to a second before the kill were known.

Cause: the time of receipt of a frame was taken for that of its writing.

Failed before: test_late_empty_frame_does_not_claim_that_recent_purges_are_known, a frame 1.2 s after the request, recorded as 1.0 s old where 2.2 is the newest that it proves.

--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -178,7 +178,8 @@
         """
         delay = self.connections.delay(self._clock.now())
         if self.local_store is not None and delay is not None and self.progress.is_current:
-            self.local_store.on_discovery_progress(self._clock.unix_ms() - KEEPALIVE_INTERVAL // MILLISECOND)
+            age = delay + KEEPALIVE_INTERVAL
+            self.local_store.on_discovery_progress(self._clock.unix_ms() - age // MILLISECOND)
 
     def _apply_event(self, update: DiscoveryUpdate, origin: ChangeOrigin) -> None:
         if update.event_index <= self.last_index:
--- a/tests/test_late_discovery.py
+++ b/tests/test_late_discovery.py
@@ -191,6 +191,35 @@
     run_director(FakeRouter(), scenario, coordinator=coordinator.address)
 
 
+class ProgressRecorder:
+    """Takes the place of the local store; records the times up to which purges are known."""
+
+    def __init__(self):
+        self.ages_ms = []
+
+    def on_discovery_progress(self, unix_ms):
+        self.ages_ms.append(time.time() * 1000 - unix_ms)
+
+    def on_purge(self, object_id, group, unix_ms): ...
+
+
+def test_late_empty_frame_does_not_claim_that_recent_purges_are_known():
+    """Purged copies came back after a kill: a frame from seconds ago counted as proof of the last second."""
+    coordinator = ScriptedCoordinator()
+    recorder = ProgressRecorder()
+
+    async def scenario(director, client, wait_until):
+        director.discovery.local_store = recorder
+        director.manager.task_group.start_soon(director.discovery.follow)
+        connection = await coordinator.next_connection(wait_until)
+        await anyio.sleep(1.2)
+        connection.sendall(frame(1, KEEPALIVE))
+        await wait_until(lambda: recorder.ages_ms)
+
+    run_director(FakeRouter(), scenario, coordinator=coordinator.address)
+    assert recorder.ages_ms[0] >= 2200
+
+
 # Decisions, and the rate of connections, without sockets
 
 SILENT = ConnectionStatus(
