Clock: an event that is as old as its path is late is no sign of a clock step

What callers could see (nobody did): on a path 9 s late a purge sets the director's Unix time back by its age, and copies look younger than they are.

Cause: a stamp counts as wrong if it is over 10 s older than the instant up to which all events had been received, and that instant was the receipt of the last empty frame, however late that was. Now it is the receipt less the measured delay.

Failed before: test_event_that_is_as_old_as_its_path_is_late_does_not_move_the_clock, the time was set back by 11 s.

--- a/ironhinge/net/discovery.py
+++ b/ironhinge/net/discovery.py
@@ -159,7 +159,7 @@
         """Handles an empty frame: all that the service held when it wrote the frame has been received."""
         now = self._clock.now()
         if connection.is_proved:
-            self.set_caught_up(now)
+            self.set_caught_up(max(self._caught_up_at, now - connection.delay.at(now)))
             self.progress.on_synced()
         self.connections.on_keepalive()
         self._update_currency()
--- a/tests/test_late_discovery.py
+++ b/tests/test_late_discovery.py
@@ -220,6 +220,23 @@
     assert recorder.ages_ms[0] >= 2200
 
 
+def test_event_that_is_as_old_as_its_path_is_late_does_not_move_the_clock():
+    """A purge of seconds ago on a late path was taken for a step of the clock, which aged all copies."""
+    coordinator = ScriptedCoordinator()
+
+    async def scenario(director, client, wait_until):
+        director.manager.task_group.start_soon(director.discovery.follow)
+        connection = await coordinator.next_connection(wait_until)
+        await anyio.sleep(1.2)
+        connection.sendall(frame(1, KEEPALIVE))
+        before_ms = director.clock.unix_ms() - int(time.time() * 1000)
+        connection.sendall(purge(2, unix_ms=int(time.time() * 1000) - 11_000))
+        await wait_until(lambda: director.discovery.last_index == 2)
+        assert abs(director.clock.unix_ms() - int(time.time() * 1000) - before_ms) < 50
+
+    run_director(FakeRouter(), scenario, coordinator=coordinator.address)
+
+
 # Decisions, and the rate of connections, without sockets
 
 SILENT = ConnectionStatus(
