--- a/ironhinge/lab/soak/plan.py
+++ b/ironhinge/lab/soak/plan.py
@@ -172,7 +172,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DiscoveryTrouble:
+class DiscoveryDelay:
     """A time for which the paths from discovery to all directors are late."""
 
     at: float  # seconds since the start of the load; negative: from before the start of the directors
@@ -208,7 +208,8 @@
     event_write_time: float = 0.0  # seconds in which discovery writes each event in pieces; 0: at once
     crowds: tuple[AbuseEvent, ...] = ()
     backlog: BacklogDelivery | None = None  # None: the configuration is written right before each start
-    discovery_troubles: tuple[DiscoveryTrouble, ...] = ()
+    discovery_delays: tuple[DiscoveryDelay, ...] = ()
+    sends_full_lists: bool = False  # discovery writes the whole list to each new connection
     has_coinciding_times: bool = False  # client timeouts after which a deadline is the end of a window
 
 
--- a/ironhinge/lab/soak/proxy.py
+++ b/ironhinge/lab/soak/proxy.py
@@ -62,8 +62,15 @@
             self.on_returned(count)
             return self.return_delay(number)
 
+        async def forward() -> None:
+            """Forward what the client writes."""
+            try:
+                await self._pump(reader, target_writer, lambda _: self.path.delay)
+            finally:
+                self.on_client_closed(number)
+
         pumps = [
-            asyncio.ensure_future(self._pump(reader, target_writer, lambda _: self.path.delay)),
+            asyncio.ensure_future(forward()),
             asyncio.ensure_future(self._pump(target_reader, writer, return_delay)),
         ]
         self._tasks.update(pumps)
@@ -82,6 +89,9 @@
     def on_connected(self, number: int) -> None:
         """Note that a connection was established; connections are numbered from 1."""
 
+    def on_client_closed(self, number: int) -> None:
+        """Note that the client has closed its side, or that the connection has ended otherwise."""
+
     def on_returned(self, count: int) -> None:
         """Note that the server has written bytes."""
 
--- a/ironhinge/lab/soak/records.py
+++ b/ironhinge/lab/soak/records.py
@@ -137,6 +137,14 @@
     log_path: str = ""
 
 
+class ExcessConnections(NamedTuple):
+    """More connections of a director to discovery than it may have, or two for longer than it needs them."""
+
+    director: int
+    connections: int
+    seconds: float  # for which there were so many at least
+
+
 @dataclass(slots=True)
 class Records:
     """All records of a run."""
@@ -148,6 +156,7 @@
     cold_starts: list[ColdStart] = field(default_factory=list)
     notifications: list[Notification] = field(default_factory=list)
     incarnations: list[DirectorIncarnation] = field(default_factory=list)
+    excess_connections: list[ExcessConnections] = field(default_factory=list)
     unix_offset: float = 0.0  # seconds to add to a monotonic time to get Unix time
     max_lag: float = 0.0  # seconds: the largest lag of the recording process
     lags: list[tuple[float, float]] = field(default_factory=list)  # time and seconds of each lag over 20 ms
--- a/ironhinge/lab/soak/report.py
+++ b/ironhinge/lab/soak/report.py
@@ -21,6 +21,7 @@
     Rule.NOT_READY,
     Rule.MALFORMED_COMMAND,
     Rule.UNKNOWN_REQUEST,
+    Rule.DISCOVERY_CONNECTIONS,
 )
 
 
--- a/ironhinge/net/discovery_choice.py
+++ b/ironhinge/net/discovery_choice.py
@@ -42,7 +42,7 @@
         is_established: The peer has accepted the connection.
         has_received: A frame has arrived on it.
         is_proved: Since the connection was last silent, an empty frame has shown that nothing is missing.
-        silent_for: Time for which it has been overdue: without bytes, or within one frame; 0: not overdue.
+        overdue_time: Time for which it has been overdue: without bytes, or within one frame; 0: not overdue.
         delay: How late its frames arrive.
     """
 
@@ -50,33 +50,33 @@
     is_established: bool
     has_received: bool
     is_proved: bool
-    silent_for: int
+    overdue_time: int
     delay: int
 
 
 def choose(older: ConnectionStatus, newer: ConnectionStatus | None) -> Choice:
     """Returns what to do with one or two connections."""
     if newer is None:
-        return Choice.OPEN_SECOND if older.silent_for else Choice.KEEP
+        return Choice.OPEN_SECOND if older.overdue_time else Choice.KEEP
     if newer.is_proved:
         is_older_better = older.is_proved and older.delay + DELAY_TOLERANCE < newer.delay
         return Choice.CLOSE_NEWER if is_older_better else Choice.CLOSE_OLDER
     if older.is_proved:
         is_newer_later = newer.age > older.delay + DELAY_TOLERANCE
         return Choice.CLOSE_NEWER if is_newer_later else Choice.KEEP
-    if older.silent_for and newer.silent_for:
-        return _choose_between_silent(older, newer)
+    if older.overdue_time and newer.overdue_time:
+        return _choose_between_overdue(older, newer)
     return Choice.KEEP
 
 
-def _choose_between_silent(older: ConnectionStatus, newer: ConnectionStatus) -> Choice:
+def _choose_between_overdue(older: ConnectionStatus, newer: ConnectionStatus) -> Choice:
     """Returns which of two silent connections makes room.
 
     If the path is slow, the newer one delivers all that is on its way to the older one too, a little later.
     If the older one is dead, only the newer one does. But one that is not established proves nothing.
     """
     is_older_doubtful = older.has_received and newer.is_established
-    if older.silent_for >= (PROVED_PATIENCE if is_older_doubtful else NEW_PATIENCE):
+    if older.overdue_time >= (PROVED_PATIENCE if is_older_doubtful else NEW_PATIENCE):
         return Choice.REPLACE_OLDER
     if newer.age >= (NEW_PATIENCE if newer.is_established else CONNECTING_PATIENCE):
         return Choice.REPLACE_NEWER
--- a/ironhinge/net/discovery_connection.py
+++ b/ironhinge/net/discovery_connection.py
@@ -16,8 +16,8 @@
 from .discovery_choice import ConnectionStatus
 
 # The service writes every second. Silence is no proof that a connection is dead: another one is tried.
-SILENCE_TIMEOUT = 3 * SECOND // 2
-SILENCE_JITTER = SECOND // 5  # by which the timeout of a connection is shorter at most
+INACTIVITY_TIMEOUT = 3 * SECOND // 2
+INACTIVITY_JITTER = SECOND // 5  # by which the timeout of a connection is shorter at most
 # For a whole frame, however slowly it arrives: a full list of 3,200 endpoints at 5 KB a second.
 FRAME_TIMEOUT = 20 * SECOND
 
@@ -66,7 +66,7 @@
         self.last_received_at = self.opened_at
         self.delay = DeliveryDelay(self.opened_at)
         self._frame_started_at = self.opened_at  # when the latest frame began to arrive
-        self._silence_timeout = SILENCE_TIMEOUT - random.randrange(SILENCE_JITTER)
+        self._inactivity_timeout = INACTIVITY_TIMEOUT - random.randrange(INACTIVITY_JITTER)
         self._delivered_index = (
             0  # of the last event that this connection delivered, or that was known before
         )
@@ -118,16 +118,16 @@
         self.is_proved = not is_event_missing
         self._receiver.on_keepalive(self)
 
-    def silent_for(self, now: int) -> int:
+    def overdue_time(self, now: int) -> int:
         """Returns the ticks for which bytes or the end of a frame have been overdue; 0 if they are not."""
-        overdue_since = self.last_received_at + self._silence_timeout
+        overdue_since = self.last_received_at + self._inactivity_timeout
         if self._wire.has_partial_frame():
             overdue_since = min(overdue_since, self._frame_started_at + FRAME_TIMEOUT)
         return max(0, now - overdue_since)
 
-    def silence_due_at(self) -> int:
+    def overdue_at(self) -> int:
         """Returns when the connection becomes silent unless bytes arrive."""
-        return self.last_received_at + self._silence_timeout
+        return self.last_received_at + self._inactivity_timeout
 
     def status(self, now: int) -> ConnectionStatus:
         """Returns the state that decides whether the connection is kept."""
@@ -136,7 +136,7 @@
             is_established=self.is_established,
             has_received=self.has_received,
             is_proved=self.is_proved,
-            silent_for=self.silent_for(now),
+            overdue_time=self.overdue_time(now),
             delay=self.delay.at(now),
         )
 
--- a/ironhinge/net/discovery_connections.py
+++ b/ironhinge/net/discovery_connections.py
@@ -31,7 +31,7 @@
     """Why a connection was ended last, for the log."""
 
     reason: str
-    silent_s: float  # time without bytes before the end, in seconds
+    idle_s: float  # time without bytes before the end, in seconds
 
 
 class DiscoveryConnections:
@@ -117,22 +117,22 @@
         """Opens and closes connections as they need it now."""
         address = self._address()
         if address is not None:
-            self._read_silent_connections()
+            self._read_overdue_connections()
             self._check_connections(address)
         self._on_checked()
 
     def _time_to_next_check(self) -> int:
         now = self._clock.now()
-        due = [each.silence_due_at() + 1 for each in self.connections]
+        due = [each.overdue_at() + 1 for each in self.connections]
         due += [self._pacer.next_at()]
         return min([each - now for each in due if each > now] + [MAX_CHECK_INTERVAL])
 
-    def _read_silent_connections(self) -> None:
+    def _read_overdue_connections(self) -> None:
         """Reads connections that seem to be silent: this process may have been late to read."""
         for each in tuple(self.connections):
-            if each.silent_for(self._clock.now()):
+            if each.overdue_time(self._clock.now()):
                 each.connection.read_now()
-            if each.silent_for(self._clock.now()):
+            if each.overdue_time(self._clock.now()):
                 each.is_proved = False
 
     def _check_connections(self, address: Address) -> None:
@@ -159,7 +159,7 @@
         if self.connections:
             self._pacer.on_second_opened(now)
         for each in self.connections:
-            _log_silence(each.status(now))
+            _log_inactivity(each.status(now))
         opened = DiscoveryConnection(self._receiver, self._clock)
         self.connections.append(opened)
         self.opened += 1
@@ -179,14 +179,14 @@
             "remaining={}",
             reason,
             self._receiver.last_index,
-            self.last_end.silent_s,
+            self.last_end.idle_s,
             self._clock.seconds(removed.delay.at(now)),
             self._clock.seconds(now - removed.opened_at),
             len(self.connections),
         )
 
 
-def _log_silence(status: ConnectionStatus) -> None:
+def _log_inactivity(status: ConnectionStatus) -> None:
     logger.warning(
         "discovery_silent established={} age_s={:.3f} delay_s={:.3f} action=second_connection",
         status.is_established,
