Tests: the time that a request waited unread is fixed before it is admitted

Cause: the fake connection said 'now - 0.2 s' when it was asked, which is after the director had noted when it read the request, so that the wait came out as 0.1999 s. The instant is fixed before the request is admitted now; bounds are as they were.

--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -51,17 +51,17 @@
 class FakeConnection:
     """Takes the place of a client's connection and records what is written.
 
-    `unread_for` is for how many seconds received data may have waited unread.
+    `empty_at` is when it was last empty, in monotonic seconds; None: whenever that is asked.
     """
 
     def __init__(self):
-        self.pending_frames, self.frames, self.unread_for = [], [], 0.0
+        self.pending_frames, self.frames, self.empty_at = [], [], None
 
     def write(self, pieces, tag=0, expires_at=None):
         self.frames.append(b"".join(pieces))
 
     def empty_until(self):
-        return time.monotonic() - self.unread_for
+        return time.monotonic() if self.empty_at is None else self.empty_at
 
     def use_backlog_data_time(self): ...
 
@@ -432,7 +432,7 @@
     fake_router = FakeRouter()
 
     async def scenario(director, client, wait_until):
-        client.connection.unread_for = 0.2
+        client.connection.empty_at = time.monotonic() - 0.2
         director.admit(client, request_frame(1, patience="900"))
         director.monitor.loop_lag = 1000
         director.admit(client, request_frame(2, patience="900", trace=TRACE[::-1]))
